--- a/src/main/java/lilacusher/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -1,4 +1,4 @@
-package lilacusher;
+package beechseam;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import lilacusher.Dispatching.*;
+import beechseam.Dispatching.*;
 
 /**
  * The decision module: speed-scaled least-loaded dispatch (eLL), one dispatcher. Interface: Dispatching.java,
--- a/src/main/java/lilacusher/Dispatching.java
+++ b/src/main/java/beechseam/Dispatching.java
@@ -1,4 +1,4 @@
-package lilacusher;
+package beechseam;
 
 import java.util.List;
 
--- a/src/main/java/lilacusher/sim/Adapter.java
+++ b/src/main/java/beechseam/sim/Adapter.java
@@ -1,4 +1,4 @@
-package lilacusher.sim;
+package beechseam.sim;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,13 +11,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lilacusher.Dispatcher;
-import lilacusher.Dispatching.ListForm;
-import lilacusher.Dispatching.Job;
-import lilacusher.Dispatching.Load;
-import lilacusher.Dispatching.Outcome;
-import lilacusher.Dispatching.State;
-import lilacusher.Dispatching.Worker;
+import beechseam.Dispatcher;
+import beechseam.Dispatching.ListForm;
+import beechseam.Dispatching.Job;
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Outcome;
+import beechseam.Dispatching.State;
+import beechseam.Dispatching.Worker;
 
 /** Speaks the simulator's wire on a pair of streams and hosts any number of instances; it decides nothing. */
 public final class Adapter {
@@ -55,7 +55,7 @@
     }
 
     private static void end(String message) {
-        System.err.println("lilacusher: " + message.replace('\n', ' '));
+        System.err.println("beechseam: " + message.replace('\n', ' '));
         System.exit(2);
     }
 
--- a/src/main/java/lilacusher/sim/Message.java
+++ b/src/main/java/beechseam/sim/Message.java
@@ -1,4 +1,4 @@
-package lilacusher.sim;
+package beechseam.sim;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/src/main/java/lilacusher/sim/Options.java
+++ b/src/main/java/beechseam/sim/Options.java
@@ -1,18 +1,18 @@
-package lilacusher.sim;
+package beechseam.sim;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lilacusher.Dispatching.Effect;
-import lilacusher.Dispatching.Group;
-import lilacusher.Dispatching.JobClass;
-import lilacusher.Dispatching.Limits;
-import lilacusher.Dispatching.Load;
-import lilacusher.Dispatching.Reports;
-import lilacusher.Dispatching.Rules;
-import lilacusher.Dispatching.Settings;
+import beechseam.Dispatching.Effect;
+import beechseam.Dispatching.Group;
+import beechseam.Dispatching.JobClass;
+import beechseam.Dispatching.Limits;
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Reports;
+import beechseam.Dispatching.Rules;
+import beechseam.Dispatching.Settings;
 
 /** The wire's settings put into the module's terms, and the order in which load reports list their values. */
 final class Options {
--- a/src/main/java/lilacusher/sim/Replies.java
+++ b/src/main/java/beechseam/sim/Replies.java
@@ -1,9 +1,9 @@
-package lilacusher.sim;
+package beechseam.sim;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import lilacusher.Dispatching.Actions;
+import beechseam.Dispatching.Actions;
 
 /** Writes actions as lines of the wire. */
 final class Replies {
--- a/src/test/java/lilacusher/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -1,7 +1,7 @@
-package lilacusher;
+package beechseam;
 
-import static lilacusher.Rig.MS;
-import static lilacusher.Rig.S;
+import static beechseam.Rig.MS;
+import static beechseam.Rig.S;
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.io.IOException;
@@ -11,7 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import lilacusher.Dispatching.*;
+import beechseam.Dispatching.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -455,7 +455,7 @@
 
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
-        List<String> module = Files.readAllLines(Path.of("src/main/java/lilacusher/Dispatcher.java"));
+        List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
         assertTrue(module.stream().filter(line -> !line.isBlank()).count() <= 910);
         try (var sources = Files.walk(Path.of("src"))) {
             for (Path source : sources.filter(path -> path.toString().endsWith(".java")).toList()) {
--- a/src/test/java/lilacusher/EmbeddingTest.java
+++ b/src/test/java/beechseam/EmbeddingTest.java
@@ -1,10 +1,10 @@
-package lilacusher;
+package beechseam;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
-import lilacusher.Dispatching.*;
+import beechseam.Dispatching.*;
 import org.junit.jupiter.api.Test;
 
 /** The README's example of a host, whole. */
--- a/src/test/java/lilacusher/Rig.java
+++ b/src/test/java/beechseam/Rig.java
@@ -1,8 +1,8 @@
-package lilacusher;
+package beechseam;
 
 import java.util.ArrayList;
 import java.util.List;
-import lilacusher.Dispatching.*;
+import beechseam.Dispatching.*;
 
 /** A module under test with the actions it has taken, and short ways to build what it is told. */
 final class Rig implements Actions {
--- a/src/test/java/lilacusher/sim/AdapterTest.java
+++ b/src/test/java/beechseam/sim/AdapterTest.java
@@ -1,4 +1,4 @@
-package lilacusher.sim;
+package beechseam.sim;
 
 import static org.junit.jupiter.api.Assertions.*;
 
@@ -81,7 +81,7 @@
     @Test
     void malformedInputEndsTheProcessWithOneLine() throws Exception {
         Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "lilacusher.sim.Adapter").start();
+            "-cp", System.getProperty("java.class.path"), "beechseam.sim.Adapter").start();
         p.getOutputStream().write("{\"Clock\":12}\n".getBytes(StandardCharsets.UTF_8));
         p.getOutputStream().close();
         String error = new String(p.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
