--- /dev/null
+++ b/src/main/java/beechseam/cli/CheckConfig.java
@@ -0,0 +1,27 @@
+package beechseam.cli;
+
+import beechseam.config.ConfigException;
+import beechseam.config.NodeConfig;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Reads a configuration as {@code serve} would and says what is wrong with it. */
+@Parameters(commandDescription = "Check a node's configuration without starting it")
+final class CheckConfig implements Main.Command {
+    @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
+    private String config;
+
+    @Override
+    public void run() throws ConfigException {
+        Map<String, String> environment = new HashMap<>(System.getenv());
+        if (config != null) {
+            environment.put("PROXY_CONFIG", config);
+        }
+        NodeConfig node = NodeConfig.of(environment);
+        System.out.println("good: " + node.name() + " on " + node.listen() + ", "
+            + node.options().settings.classes().size() + " classes, " + node.known().servers().size()
+            + " servers known");
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/cli/Main.java
@@ -0,0 +1,80 @@
+package beechseam.cli;
+
+import beechseam.config.ConfigException;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The command line. */
+public final class Main {
+    /** A sub-command: done when it returns. */
+    interface Command {
+        void run() throws IOException, ConfigException;
+    }
+
+    @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
+    private static final class WireHost implements Command {
+        @Override
+        public void run() {
+            beechseam.sim.Adapter.main(new String[0]);
+        }
+    }
+
+    @Parameters(commandDescription = "Print the version")
+    private static final class Version implements Command {
+        @Override
+        public void run() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("beechseam " + (version == null ? "(not packaged)" : version));
+        }
+    }
+
+    @Parameter(names = {"--help", "-h"}, help = true, description = "Show what there is")
+    private boolean help;
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        int status = run(args);
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    /** Carries out a command line; the process's exit status. */
+    static int run(String... args) {
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("serve", new Serve());
+        commands.put("wirehost", new WireHost());
+        commands.put("check-config", new CheckConfig());
+        commands.put("version", new Version());
+        Main main = new Main();
+        JCommander.Builder builder = JCommander.newBuilder().programName("beechseam").addObject(main);
+        commands.forEach(builder::addCommand);
+        JCommander parser = builder.build();
+        try {
+            parser.parse(args);
+            Command command = commands.get(parser.getParsedCommand());
+            if (main.help || command == null) {
+                parser.usage();
+                return main.help ? 0 : 2;
+            }
+            command.run();
+            return 0;
+        } catch (ParameterException e) {
+            System.err.println("beechseam: " + e.getMessage() + " (see beechseam --help)");
+            return 2;
+        } catch (ConfigException e) {
+            System.err.println("beechseam: configuration: " + e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            System.err.println("beechseam: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/config/Json.java
@@ -0,0 +1,64 @@
+package beechseam.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** JSON values as maps, lists, numbers, strings and booleans. */
+public final class Json {
+    public static final JsonFactory FACTORY = new JsonFactory();
+
+    private Json() {
+    }
+
+    /** One whole document. */
+    public static Object parse(byte[] text, int from, int length) throws IOException {
+        try (JsonParser in = FACTORY.createParser(text, from, length)) {
+            if (in.nextToken() == null) {
+                throw new IOException("an empty document");
+            }
+            return tree(in);
+        }
+    }
+
+    /** The value at the parser. */
+    public static Object tree(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new HashMap<>();
+                while (in.nextToken() == com.fasterxml.jackson.core.JsonToken.FIELD_NAME) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    map.put(name, tree(in));
+                }
+                return map;
+            }
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != com.fasterxml.jackson.core.JsonToken.END_ARRAY) {
+                    list.add(tree(in));
+                }
+                return list;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return in.getNumberValue();
+            }
+            case VALUE_TRUE -> {
+                return true;
+            }
+            case VALUE_FALSE -> {
+                return false;
+            }
+            case VALUE_NULL -> {
+                return null;
+            }
+            default -> {
+                return in.getText();
+            }
+        }
+    }
+}
--- a/src/main/java/beechseam/sim/Options.java
+++ b/src/main/java/beechseam/config/ModuleOptions.java
@@ -1,10 +1,11 @@
-package beechseam.sim;
+package beechseam.config;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import beechseam.Dispatching.Effect;
 import beechseam.Dispatching.Group;
 import beechseam.Dispatching.JobClass;
@@ -14,17 +15,19 @@
 import beechseam.Dispatching.Rules;
 import beechseam.Dispatching.Settings;
 
-/** The wire's settings put into the module's terms, and the order in which load reports list their values. */
-final class Options {
-    final Settings settings;
+/** The settings object put into the module's terms, and the order in which load reports list their values. */
+public final class ModuleOptions {
+    public final Settings settings;
     private final Map<String, Integer> classes = new HashMap<>();
     private final int held;
     private final int waiting;
     private final int freeSlots;
     private final int freeMemory;
     private final int utilization;
+    private final String freeSlotsName;
+    private final String freeMemoryName;
 
-    private Options(Settings settings, List<?> columns, String x0, String x1) {
+    private ModuleOptions(Settings settings, List<?> columns, String x0, String x1) {
         this.settings = settings;
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
@@ -34,6 +37,8 @@
         utilization = columns.indexOf("utilization");
         freeSlots = extra(columns, x0, x1, "slot");
         freeMemory = extra(columns, x0, x1, "memory");
+        freeSlotsName = x0.contains("slot") ? "x0" : "x1";
+        freeMemoryName = x0.contains("memory") ? "x0" : "x1";
     }
 
     /** The column whose meaning, in words, speaks of this resource; -1 when none does. */
@@ -41,7 +46,7 @@
         return x0.contains(word) ? columns.indexOf("x0") : x1.contains(word) ? columns.indexOf("x1") : -1;
     }
 
-    static Options of(Map<?, ?> o) {
+    public static ModuleOptions of(Map<?, ?> o) {
         Map<?, ?> family = map(o, "Specifics");
         List<?> kinds = list(o, "Kinds");
         List<?> kindOf = list(family, "ClassKind");
@@ -81,7 +86,7 @@
             default -> Reports.NONE;
         };
         Map<?, ?> prices = map(o, "Prices");
-        return new Options(new Settings(List.copyOf(classes), limits, rules, reports,
+        return new ModuleOptions(new Settings(List.copyOf(classes), limits, rules, reports,
             text(o, "Discovery", "").equals("on_request"), (int) integer(o, "GroupSize", 1),
             (int) integer(o, "Me", 0), text(o, "Locality", ""),
             flag(family, "TellsStart"), integer(family, "ProgressNs", 0), number(prices, "CrossZone", 0),
@@ -90,20 +95,40 @@
             text(family, "ReportX1", ""));
     }
 
-    int classIndex(String name) throws IOException {
-        Integer index = classes.get(name);
-        if (index == null) {
+    public int classIndex(String name) throws IOException {
+        int index = findClass(name);
+        if (index < 0) {
             throw new IOException("a job of no known class: " + name);
         }
         return index;
     }
 
+    /** The class's number, or -1. */
+    public int findClass(String name) {
+        Integer index = classes.get(name);
+        return index == null ? -1 : index;
+    }
+
     /** A report in the module's terms, or null where none came along. */
-    Load load(double[] gauge, int size) {
+    public Load load(double[] gauge, int size) {
         return size == 0 ? null : new Load(at(gauge, size, held), at(gauge, size, waiting),
             at(gauge, size, freeSlots), at(gauge, size, freeMemory), at(gauge, size, utilization));
     }
 
+    /** The same for a report that names its values; the platform's sockets use the short names. */
+    public Load load(ToDoubleFunction<String> named) {
+        return new Load(named(named, held, "inflight", "outstanding"),
+            named(named, waiting, "queue", "backlog"),
+            named(named, freeSlots, freeSlotsName, freeSlotsName),
+            named(named, freeMemory, freeMemoryName, freeMemoryName),
+            named(named, utilization, "util", "utilization"));
+    }
+
+    private static double named(ToDoubleFunction<String> named, int column, String shortName, String name) {
+        double value = column < 0 ? Double.NaN : named.applyAsDouble(shortName);
+        return column < 0 || !Double.isNaN(value) ? value : named.applyAsDouble(name);
+    }
+
     private static double at(double[] gauge, int size, int column) {
         return column < 0 || column >= size ? Double.NaN : gauge[column];
     }
--- /dev/null
+++ b/src/main/java/beechseam/config/NodeConfig.java
@@ -0,0 +1,101 @@
+package beechseam.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a platform node is told. The one place where PROXY_CONFIG and its companions are read, checked and
+ * given defaults.
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery,
+                         String discoveryHost, long seed, int sockets, MemberList known,
+                         ModuleOptions options, long connectTimeoutNs) {
+    private static final long DEFAULT_CONNECT_TIMEOUT_NS = 250_000_000L;
+
+    /** By the environment: the file that PROXY_CONFIG names, and the other variables in its stead. */
+    public static NodeConfig of(Map<String, String> environment) throws ConfigException {
+        Map<Object, Object> values = new HashMap<>();
+        String file = environment.get("PROXY_CONFIG");
+        if (file != null) {
+            values.putAll(read(file).values());
+        }
+        put(values, "name", environment.get("PROXY_NAME"));
+        put(values, "listen", environment.get("PROXY_LISTEN"));
+        put(values, "discovery", environment.get("PROXY_DISCOVERY"));
+        return of(new Tree("", values));
+    }
+
+    private static void put(Map<Object, Object> values, String key, String value) {
+        if (value != null && !value.isBlank()) {
+            values.put(key, value);
+        }
+    }
+
+    /** A file with one JSON object. */
+    public static Tree read(String file) throws ConfigException {
+        byte[] text;
+        try {
+            text = Files.readAllBytes(Path.of(file));
+        } catch (IOException | RuntimeException e) {
+            throw new ConfigException(file, "cannot be read: " + e.getMessage());
+        }
+        try {
+            if (Json.parse(text, 0, text.length) instanceof Map<?, ?> map) {
+                return new Tree("", map);
+            }
+        } catch (IOException e) {
+            throw new ConfigException(file, "is not JSON: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        throw new ConfigException(file, "must hold one object");
+    }
+
+    public static NodeConfig of(Tree c) throws ConfigException {
+        Tree settings = c.object("settings");
+        check(settings);
+        Tree limits = c.object("limits", Map.of());
+        Tree bounds = settings.object("Limits", Map.of());
+        return new NodeConfig(c.text("name", "node"), c.address("listen", null), c.address("discovery", null),
+            c.text("discovery"), seed(c), (int) limits.whole("sockets", 32, 1 << 20, 1024),
+            MemberList.of(c.object("known", Map.of())), ModuleOptions.of(settings.values()),
+            bounds.whole("ConnectTimeoutNs", 1_000_000L, 60_000_000_000L, DEFAULT_CONNECT_TIMEOUT_NS));
+    }
+
+    private static long seed(Tree c) throws ConfigException {
+        if (c.values().get("seed") instanceof Number n) {
+            return n.longValue();
+        }
+        try {
+            return Long.parseUnsignedLong(c.text("seed", "0"), 16);
+        } catch (NumberFormatException e) {
+            throw c.wrong("seed", "must be up to 16 hexadecimal digits");
+        }
+    }
+
+    /** What the module cannot do without, or would take for something else. */
+    private static void check(Tree settings) throws ConfigException {
+        if (settings.objects("Classes").isEmpty()) {
+            throw settings.wrong("Classes", "must name at least one class");
+        }
+        for (Tree each : settings.objects("Classes")) {
+            each.text("Name");
+            each.whole("AimNs", 0, Long.MAX_VALUE, 0);
+            each.whole("DeadlineNs", 0, Long.MAX_VALUE, 0);
+            each.whole("WindowNs", 0, Long.MAX_VALUE, 0);
+            each.number("Worth", 0, 1e12, 1);
+            each.text("Effect", "");
+        }
+        Tree limits = settings.object("Limits", Map.of());
+        limits.whole("MaxAttempts", 1, 1000, 1);
+        limits.whole("IdleCloseNs", 0, Long.MAX_VALUE, 0);
+        Tree rules = settings.object("Rules", Map.of());
+        rules.whole("DrainGraceNs", 0, Long.MAX_VALUE, 0);
+        rules.number("StartCapacity", 0, 1, 1);
+        rules.number("OverloadFactor", 0, 1e6, 1);
+        settings.whole("GroupSize", 1, 1_000_000, 1);
+        settings.whole("Me", 0, 1_000_000, 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/core/Engine.java
@@ -0,0 +1,306 @@
+package beechseam.core;
+
+import beechseam.Dispatcher;
+import beechseam.Dispatching.Actions;
+import beechseam.Dispatching.Job;
+import beechseam.Dispatching.ListForm;
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Outcome;
+import beechseam.Dispatching.Settings;
+import beechseam.Dispatching.Worker;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/**
+ * Drives the decision module: hands it what fronts, egress and discovery tell, and does what it decides.
+ * Single-threaded. It sees to one final answer a request and one end a hop, whatever the wires do.
+ */
+public final class Engine {
+    private static final Logger LOG = System.getLogger(Engine.class.getName());
+    /** An answer leaves this long before the client gives up: it has a way to go yet. */
+    public static final long ANSWER_MARGIN_NS = 25_000_000L;
+
+    private final LongSupplier clock;
+    private final Timers timers;
+    private final Egress egress;
+    private final Dispatcher module;
+    private final Counters counters;
+    private final RouteTable routes = new RouteTable();
+    private final Map<Long, Request> byId = new HashMap<>();
+    private final Map<String, Request> byCorrelation = new HashMap<>();
+    // The module is never entered while it acts: what its actions bring about at once waits here.
+    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+    private boolean inside;
+    private long lastId;
+
+    public Engine(Settings settings, long seed, LongSupplier clock, Timers timers, Egress egress,
+                  Counters counters) {
+        this.clock = clock;
+        this.timers = timers;
+        this.egress = egress;
+        this.counters = counters;
+        inside = true; // the module may act from its constructor on
+        module = new Dispatcher(now(), settings, seed, new Doing());
+        inside = false;
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    public RouteTable routes() {
+        return routes;
+    }
+
+    public long now() {
+        return clock.getAsLong();
+    }
+
+    /** Requests that owe an answer or still have a hop out. */
+    public int open() {
+        return byId.size();
+    }
+
+    public Request find(String correlation) {
+        return byCorrelation.get(correlation);
+    }
+
+    private void tell(Runnable event) {
+        if (inside) {
+            deferred.add(event);
+            return;
+        }
+        inside = true;
+        try {
+            for (Runnable each = event; each != null; each = deferred.poll()) {
+                try {
+                    each.run();
+                } catch (RuntimeException e) { // one request's fault must not stop the others
+                    counters.faults++;
+                    LOG.log(Level.ERROR, "fault in an event", e);
+                }
+            }
+        } finally {
+            inside = false;
+        }
+    }
+
+    // ---- From fronts
+
+    /** Takes a request; null when one of that name is still open. Its ingress may be called at once. */
+    public Request take(String correlation, int jobClass, long budgetNs, double slots, double memory,
+                        Object message, Ingress ingress) {
+        if (byCorrelation.containsKey(correlation)) {
+            return null;
+        }
+        Request r = new Request(++lastId, correlation, jobClass, now() + budgetNs, message, ingress);
+        byId.put(r.id, r);
+        byCorrelation.put(correlation, r);
+        counters.taken++;
+        r.deadline = new Timer() {
+            @Override
+            protected void fire() {
+                tell(() -> expire(r));
+            }
+        };
+        // With little time in hand half of it is kept for the answer's way.
+        timers.set(r.deadline, r.deadlineAt - Math.min(ANSWER_MARGIN_NS, budgetNs / 2));
+        tell(() -> module.job(now(), new Job(r.id, jobClass, budgetNs, 0, slots, memory)));
+        return r;
+    }
+
+    /** The client has gone: nobody waits for an answer. */
+    public void left(Request r) {
+        tell(() -> {
+            if (!r.finished) {
+                counters.left++;
+                finish(r);
+                module.left(now(), r.id);
+                forget(r);
+            }
+        });
+    }
+
+    private void expire(Request r) {
+        for (Hop hop : List.copyOf(r.hops)) {
+            if (!hop.over) {
+                egress.cancel(hop);
+                end(hop, Outcome.TIMEOUT, null, null);
+            }
+        }
+        if (!r.finished) { // the module would still wait, but the client does not
+            counters.failed++;
+            finish(r);
+            r.ingress.failed(r, "no answer in time");
+            module.left(now(), r.id);
+            forget(r);
+        }
+    }
+
+    private void finish(Request r) {
+        r.finished = true;
+        timers.cancel(r.deadline);
+    }
+
+    private void forget(Request r) {
+        if (r.finished && r.out == 0) {
+            byId.remove(r.id);
+            byCorrelation.remove(r.correlation);
+        }
+    }
+
+    // ---- From the egress
+
+    public void started(Hop hop) {
+        tell(() -> {
+            if (!hop.over) {
+                module.started(now(), hop.request.id, hop.number);
+            }
+        });
+    }
+
+    public void progress(Hop hop, double share) {
+        tell(() -> {
+            if (!hop.over) {
+                module.progress(now(), hop.request.id, hop.number, share);
+            }
+        });
+    }
+
+    /** A hop's end; the first that served answers the client. Ends of hops that are over are passed over. */
+    public void ended(Hop hop, Outcome outcome, byte[] result, Load load) {
+        tell(() -> end(hop, outcome, result, load));
+    }
+
+    private void end(Hop hop, Outcome outcome, byte[] result, Load load) {
+        if (hop.over) {
+            return;
+        }
+        Request r = hop.request;
+        hop.over = true;
+        r.out--;
+        counters.ended(outcome);
+        if (hop.timeout != null) {
+            timers.cancel(hop.timeout);
+        }
+        if (outcome == Outcome.SERVED && !r.finished) {
+            counters.served++;
+            finish(r);
+            r.ingress.served(r, result);
+        }
+        module.ended(now(), r.id, hop.number, outcome, r.finished, load);
+        forget(r);
+    }
+
+    public void probed(long target, boolean answered, Load load) {
+        tell(() -> module.probed(now(), target, answered, load));
+    }
+
+    // ---- From discovery
+
+    public void routes(ListForm form, List<Worker> lines) {
+        // At once, not deferred: a hop about to be written must see the newest table.
+        routes.apply(form, lines);
+        tell(() -> module.list(now(), form, lines));
+    }
+
+    // ---- What the module decides
+
+    private final class Doing implements Actions {
+        @Override
+        public void send(long job, long worker, long timeoutNs) {
+            Request r = byId.get(job);
+            if (r == null || r.finished) {
+                LOG.log(Level.WARNING, "a send for a request that is finished");
+                return;
+            }
+            Timer timeout = timeoutNs == 0 ? null : new Timer() {
+                @Override
+                protected void fire() {
+                    timeOut(r, r.hopAt(worker));
+                }
+            };
+            Hop hop = new Hop(r, r.hops.size(), worker, timeout);
+            r.hops.add(hop);
+            r.out++;
+            counters.sent++;
+            if (timeout != null) {
+                timers.set(timeout, now() + timeoutNs);
+            }
+            egress.send(hop);
+        }
+
+        @Override
+        public void cancel(long job, int attempt) {
+            Request r = byId.get(job);
+            if (r == null || attempt < 0 || attempt >= r.hops.size() || r.hops.get(attempt).over) {
+                return;
+            }
+            Hop hop = r.hops.get(attempt);
+            egress.cancel(hop);
+            tell(() -> end(hop, Outcome.CANCELLED, null, null));
+        }
+
+        @Override
+        public void refuse(long job, long pauseNs) {
+            Request r = byId.get(job);
+            if (r != null && !r.finished) {
+                counters.shed++;
+                finish(r);
+                r.ingress.shed(r, pauseNs);
+                forget(r);
+            }
+        }
+
+        @Override
+        public void fail(long job) {
+            Request r = byId.get(job);
+            if (r != null && !r.finished) {
+                counters.failed++;
+                finish(r);
+                r.ingress.failed(r, "it could not be done");
+                forget(r);
+            }
+        }
+
+        @Override
+        public void probe(long worker) {
+            counters.probes++;
+            egress.probe(worker);
+        }
+
+        @Override
+        public void wakeIn(long offsetNs, long tag) {
+            timers.set(new Timer() {
+                @Override
+                protected void fire() {
+                    tell(() -> module.wake(now(), tag));
+                }
+            }, now() + offsetNs);
+        }
+
+        @Override
+        public void watchList() {
+            // A node watches discovery all the time, asked or not.
+        }
+
+        @Override
+        public void log(String text) {
+            LOG.log(Level.INFO, text);
+        }
+    }
+
+    private void timeOut(Request r, Hop hop) {
+        tell(() -> {
+            if (hop != null && !hop.over) {
+                egress.cancel(hop);
+                end(hop, Outcome.TIMEOUT, null, null);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/core/Hop.java
@@ -0,0 +1,24 @@
+package beechseam.core;
+
+/** One attempt at a request, at one egress target. */
+public final class Hop {
+    public final Request request;
+    public final int number;
+    public final long target;
+    /** What the egress keeps of it. */
+    public Object carrier;
+    final Timer timeout;
+    boolean over;
+
+    Hop(Request request, int number, long target, Timer timeout) {
+        this.request = request;
+        this.number = number;
+        this.target = target;
+        this.timeout = timeout;
+    }
+
+    /** Ended or given up: whatever comes of it now is too late. */
+    public boolean over() {
+        return over;
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/core/Ingress.java
@@ -0,0 +1,13 @@
+package beechseam.core;
+
+/** A front's side of a request: it gets exactly one of these calls, once. */
+public interface Ingress {
+    /** What an egress target gave for the request. */
+    void served(Request request, byte[] result);
+
+    /** Given up, and trying again is harmless after the pause (0: no advice). */
+    void shed(Request request, long pauseNs);
+
+    /** Given up, with no promise about its effect. */
+    void failed(Request request, String why);
+}
--- /dev/null
+++ b/src/main/java/beechseam/net/Connection.java
@@ -0,0 +1,271 @@
+package beechseam.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+
+/**
+ * A TCP connection as an object with callbacks. States: connecting, open, closed. Bytes read are handed on
+ * as a slice of the read buffer and stay there until used; bytes to write wait in order until the peer takes
+ * them.
+ */
+public abstract class Connection implements EventLoop.Ready {
+    /** The most bytes that may wait to be written: a peer that reads no answers must not fill the heap. */
+    private static final int MOST_WAITING = 512 * 1024;
+
+    protected final EventLoop loop;
+    private final SocketChannel channel;
+    private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
+    private final int mostRead;
+    private SelectionKey key;
+    private ByteBuffer in;
+    private long waitingBytes;
+    private boolean connecting;
+    private boolean closed;
+    private boolean closeWhenWritten;
+    private boolean full;
+    private long lastActivity;
+
+    /** An accepted channel, or null for one that {@link #connect} opens; {@code mostRead} bytes are held. */
+    protected Connection(EventLoop loop, SocketChannel channel, int mostRead) throws IOException {
+        this.loop = loop;
+        this.mostRead = mostRead;
+        this.channel = channel != null ? channel : SocketChannel.open();
+        this.channel.configureBlocking(false);
+        this.channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        lastActivity = loop.now();
+        connecting = channel == null; // bytes written before it is up wait
+        if (channel != null) {
+            key = loop.register(channel, SelectionKey.OP_READ, this);
+        }
+    }
+
+    // ---- Callbacks
+
+    /** The connection asked for has come up. */
+    protected void connected() {
+    }
+
+    /** New bytes: uses up what it can from the position on. The slice is void after the call. */
+    protected abstract void received(ByteBuffer bytes);
+
+    /** It is gone, by either side; called once, unless {@link #close} was called here. */
+    protected abstract void lost(IOException why);
+
+    // ---- What its owner does
+
+    protected final void connect(SocketAddress to) {
+        try {
+            boolean up = channel.connect(to);
+            key = loop.register(channel, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+            if (up) {
+                up();
+            }
+        } catch (IOException | RuntimeException e) {
+            fail(e instanceof IOException io ? io : new IOException(e));
+        }
+    }
+
+    /** Writes now what the peer takes, the rest later. */
+    public final void write(ByteBuffer... parts) {
+        if (closed) {
+            return;
+        }
+        for (ByteBuffer part : parts) {
+            if (part.hasRemaining()) {
+                waiting.add(part);
+                waitingBytes += part.remaining();
+            }
+        }
+        if (!connecting) {
+            flush();
+        }
+    }
+
+    /** Bytes handed over that the peer's side has not taken yet. */
+    public final long unwritten() {
+        return waitingBytes;
+    }
+
+    public final void closeWhenWritten() {
+        closeWhenWritten = true;
+        if (!connecting && waitingBytes == 0) {
+            close();
+        }
+    }
+
+    /** Closes without a callback. */
+    public final void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (in != null) {
+            loop.buffers.give(in);
+            in = null;
+        }
+        waiting.clear();
+        EventLoop.closeQuietly(channel);
+        released();
+    }
+
+    /** Closed, for whatever reason: the owner counts it out. */
+    protected void released() {
+    }
+
+    public final boolean closed() {
+        return closed;
+    }
+
+    public final boolean connecting() {
+        return connecting && !closed;
+    }
+
+    /** When bytes last came or went. */
+    public final long lastActivity() {
+        return lastActivity;
+    }
+
+    public final String peer() {
+        try {
+            return channel.getRemoteAddress() instanceof InetSocketAddress a
+                ? a.getAddress().getHostAddress() : "?";
+        } catch (IOException e) {
+            return "?";
+        }
+    }
+
+    /** Bytes read and not used up are offered again. */
+    public final void again() {
+        if (in != null && !closed) {
+            offer();
+            interest();
+        }
+    }
+
+    protected final boolean hasUnused() {
+        return in != null && in.position() > 0;
+    }
+
+    // ---- The loop's side
+
+    @Override
+    public final void ready(SelectionKey ignored) {
+        try {
+            if (connecting) {
+                if (!channel.finishConnect()) {
+                    return;
+                }
+                up();
+                return;
+            }
+            if (key.isValid() && key.isReadable()) {
+                read();
+            }
+            if (!closed && key.isValid() && key.isWritable()) {
+                flush();
+            }
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    private void up() {
+        connecting = false;
+        lastActivity = loop.now();
+        interest();
+        connected();
+        if (!closed) {
+            flush();
+        }
+    }
+
+    private void read() throws IOException {
+        if (in == null) {
+            in = loop.buffers.take();
+        }
+        if (!in.hasRemaining()) {
+            grow();
+        }
+        int n = channel.read(in);
+        if (n < 0) {
+            throw new IOException("closed by the peer");
+        }
+        if (n > 0) {
+            lastActivity = loop.now();
+            offer();
+        }
+        if (!closed) {
+            interest();
+        }
+    }
+
+    private void grow() {
+        ByteBuffer larger = ByteBuffer.allocate(Math.min(mostRead, in.capacity() * 2));
+        larger.put(in.flip());
+        loop.buffers.give(in);
+        in = larger;
+    }
+
+    private void offer() {
+        in.flip();
+        received(in);
+        if (closed) {
+            return;
+        }
+        in.compact();
+        if (in.position() == 0) {
+            loop.buffers.give(in);
+            in = null;
+        }
+    }
+
+    private void interest() {
+        full = in != null && in.position() >= mostRead;
+        if (key != null && key.isValid()) {
+            // A full buffer that nobody uses up stops the reading, not the heap.
+            key.interestOps((full ? 0 : SelectionKey.OP_READ)
+                | (waitingBytes > 0 ? SelectionKey.OP_WRITE : 0));
+        }
+    }
+
+    private void flush() {
+        try {
+            while (!waiting.isEmpty()) {
+                ByteBuffer next = waiting.peekFirst();
+                int n = channel.write(next);
+                waitingBytes -= n;
+                if (n > 0) {
+                    lastActivity = loop.now();
+                }
+                if (next.hasRemaining()) {
+                    break;
+                }
+                waiting.removeFirst();
+            }
+        } catch (IOException e) {
+            fail(e);
+            return;
+        }
+        if (waitingBytes > MOST_WAITING) {
+            fail(new IOException("the peer does not read"));
+        } else if (waitingBytes == 0 && closeWhenWritten) {
+            close();
+        } else if (!closed) {
+            interest();
+        }
+    }
+
+    /** It has failed: closed, and its owner is told. */
+    protected final void fail(IOException why) {
+        if (!closed) {
+            close();
+            lost(why);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -0,0 +1,108 @@
+package beechseam.net;
+
+import beechseam.core.Timer;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** One thread that serves all connections and timers. No exception leaves it. */
+public final class EventLoop {
+    private static final Logger LOG = System.getLogger(EventLoop.class.getName());
+    private static final long LONGEST_WAIT_NS = 1_000_000_000L;
+
+    /** What a selection key carries. */
+    public interface Ready {
+        void ready(SelectionKey key) throws IOException;
+    }
+
+    public final TimerQueue timers = new TimerQueue();
+    public final Buffers buffers = new Buffers();
+    private final Selector selector;
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    // Unix time that never steps: discovery dates starts in Unix time, and deadlines need a steady clock.
+    private final long clockOffset = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
+    private volatile boolean stopping;
+
+    public EventLoop() throws IOException {
+        selector = Selector.open();
+    }
+
+    public long now() {
+        return System.nanoTime() + clockOffset;
+    }
+
+    public SelectionKey register(SelectableChannel channel, int ops, Ready ready) throws IOException {
+        return channel.register(selector, ops, ready);
+    }
+
+    /** Runs it on the loop's thread; the only method for other threads, with {@link #stop}. */
+    public void post(Runnable task) {
+        posted.add(task);
+        selector.wakeup();
+    }
+
+    public void stop() {
+        stopping = true;
+        selector.wakeup();
+    }
+
+    public void run() throws IOException {
+        while (!stopping) {
+            turn(LONGEST_WAIT_NS);
+        }
+        selector.close();
+    }
+
+    /** One turn: waits for something to do, at most so long, and does it. */
+    public void turn(long longestWaitNs) throws IOException {
+        long wait = posted.isEmpty() ? timers.untilNext(now(), longestWaitNs) : 0;
+        if (wait < 1_000_000L) {
+            selector.selectNow(this::serve);
+            if (wait > 0) { // the selector counts in milliseconds: rather early than late
+                selector.select(this::serve, 1);
+            }
+        } else {
+            selector.select(this::serve, wait / 1_000_000L);
+        }
+        for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+            guarded(task);
+        }
+        long now = now();
+        for (Timer t = timers.due(now); t != null; t = timers.due(now)) {
+            guarded(t::run);
+        }
+    }
+
+    private void serve(SelectionKey key) {
+        try {
+            ((Ready) key.attachment()).ready(key);
+        } catch (CancelledKeyException e) {
+            LOG.log(Level.DEBUG, "a connection closed in the same turn");
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.ERROR, "fault on a connection", e);
+            closeQuietly(key.channel());
+        }
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "fault in a timer or task", e);
+        }
+    }
+
+    static void closeQuietly(AutoCloseable channel) {
+        try {
+            channel.close();
+        } catch (Exception e) {
+            LOG.log(Level.DEBUG, "close failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/Callbacks.java
@@ -0,0 +1,66 @@
+package beechseam.platform;
+
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Outcome;
+import beechseam.config.Json;
+import beechseam.config.ModuleOptions;
+import beechseam.core.Engine;
+import beechseam.core.Hop;
+import beechseam.core.Request;
+import beechseam.http.Slice;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * What executors tell of jobs. An event may come before the 202, twice, late, or for a request that is long
+ * forgotten: whatever finds no hop that is out at its sender is taken and passed over.
+ */
+final class Callbacks {
+    private final Engine engine;
+    private final ModuleOptions options;
+
+    Callbacks(Engine engine, ModuleOptions options) {
+        this.engine = engine;
+        this.options = options;
+    }
+
+    /** Whether the body was an event at all. */
+    boolean take(Slice body) {
+        Object tree;
+        try {
+            tree = Json.parse(body.bytes(), body.from(), body.length());
+        } catch (IOException e) {
+            return false;
+        }
+        if (!(tree instanceof Map<?, ?> event) || !(event.get("id") instanceof String id)
+            || !(event.get("from") instanceof String from) || !(event.get("state") instanceof String state)) {
+            return false;
+        }
+        Request request = engine.find(id);
+        Hop hop = request == null ? null : request.hopAt(Wire.target(from));
+        if (hop == null) {
+            engine.counters().lateCallbacks++;
+            return true;
+        }
+        Load load = event.get("load") instanceof Map<?, ?> report ? Wire.load(options, report) : null;
+        switch (state) {
+            case "started" -> engine.started(hop);
+            case "running" -> {
+                if (event.get("share") instanceof Number share) {
+                    engine.progress(hop, share.doubleValue());
+                }
+            }
+            case "done" -> engine.ended(hop, Outcome.SERVED, result(event.get("result")), load);
+            case "failed" -> engine.ended(hop, Outcome.ERROR, null, load);
+            case "returned" -> engine.ended(hop, Outcome.REFUSED, null, load);
+            case "lost" -> engine.ended(hop, Outcome.LOST, null, load);
+            default -> { } // a state of a later version of the protocol
+        }
+        return true;
+    }
+
+    private static byte[] result(Object result) {
+        return result == null ? Wire.NOTHING : result.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -0,0 +1,125 @@
+package beechseam.platform;
+
+import beechseam.core.Timer;
+import beechseam.http.HttpException;
+import beechseam.http.HttpParser;
+import beechseam.net.Connection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** A connection to an executor: connecting, idle in its pool, or busy with one exchange. */
+final class EgressConnection extends Connection {
+    private final EgressPool pool;
+    private final EgressPool.Target target;
+    private final HttpParser parser = new HttpParser(false);
+    private final Timer connectTimeout = new Timer() {
+        @Override
+        protected void fire() {
+            fail(new IOException("no connection in time"));
+        }
+    };
+    private Exchange now;
+    private boolean begun;
+
+    EgressConnection(EgressPool pool, EgressPool.Target target) throws IOException {
+        super(pool.loop, null, HttpParser.MAX_MESSAGE);
+        this.pool = pool;
+        this.target = target;
+    }
+
+    /** Opens it for an exchange. */
+    void open(Exchange first) {
+        now = first;
+        loop.timers.set(connectTimeout, loop.now() + pool.connectTimeoutNs);
+        connect(target.address);
+    }
+
+    /** Begins an exchange on the idle connection. */
+    void begin(Exchange next) {
+        now = next;
+        start();
+    }
+
+    @Override
+    protected void connected() {
+        loop.timers.cancel(connectTimeout);
+        start();
+    }
+
+    /** Asked at the last moment: the route table may have changed while the exchange waited. */
+    private void start() {
+        begun = false;
+        if (!now.wanted()) {
+            now = null;
+            pool.idle(this);
+            return;
+        }
+        begun = true;
+        now.connection = this;
+        write(now.bytes());
+    }
+
+    @Override
+    protected void received(ByteBuffer in) {
+        try {
+            while (in.hasRemaining() && !closed()) {
+                if (now == null) { // an answer to nothing: its frame is lost
+                    close();
+                    return;
+                }
+                if (!parser.parse(in)) {
+                    return;
+                }
+                if (parser.status() >= 200) {
+                    answered();
+                }
+            }
+        } catch (HttpException e) {
+            fail(new IOException(e.getMessage()));
+        }
+    }
+
+    private void answered() {
+        Exchange done = now;
+        now = null;
+        done.connection = null;
+        boolean whole = unwritten() == 0;
+        if (parser.keepAlive() && !parser.untilClose() && whole) {
+            pool.idle(this);
+        } else {
+            close();
+        }
+        done.answered(parser);
+    }
+
+    /** The exchange under way is of no interest any more, and its answer would come in the way. */
+    void abandon() {
+        now = null;
+        close();
+    }
+
+    boolean busy() {
+        return now != null;
+    }
+
+    EgressPool.Target target() {
+        return target;
+    }
+
+    @Override
+    protected void lost(IOException why) {
+        if (now != null) {
+            Exchange broken = now;
+            now = null;
+            broken.connection = null;
+            // Before its last byte has gone nothing can have run; after that it may have.
+            broken.broken(!begun || unwritten() > 0);
+        }
+    }
+
+    @Override
+    protected void released() {
+        loop.timers.cancel(connectTimeout);
+        pool.released(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -0,0 +1,166 @@
+package beechseam.platform;
+
+import beechseam.net.EventLoop;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Connections to executors, kept alive between exchanges. It sends nothing twice. */
+final class EgressPool {
+    private static final Logger LOG = System.getLogger(EgressPool.class.getName());
+
+    /** An executor's address with the connections to it. */
+    static final class Target {
+        final long id;
+        final String host;
+        final InetSocketAddress address;
+        final ArrayDeque<EgressConnection> idle = new ArrayDeque<>();
+        final ArrayDeque<Exchange> queue = new ArrayDeque<>();
+        int open;
+        boolean gone;
+
+        Target(long id, String host, InetSocketAddress address) {
+            this.id = id;
+            this.host = host;
+            this.address = address;
+        }
+    }
+
+    final EventLoop loop;
+    final long connectTimeoutNs;
+    private final long keepIdleNs;
+    private final int mostOpen;
+    private final int mostPerTarget;
+    private final Map<Long, Target> targets = new HashMap<>();
+    private int open;
+
+    /** The executor's side closes what stands idle for {@code idleCloseNs}: this side does so well before. */
+    EgressPool(EventLoop loop, long connectTimeoutNs, long idleCloseNs, int mostOpen, int mostPerTarget) {
+        this.loop = loop;
+        this.connectTimeoutNs = connectTimeoutNs;
+        this.keepIdleNs = idleCloseNs > 0 ? idleCloseNs / 2 : 30_000_000_000L;
+        this.mostOpen = mostOpen;
+        this.mostPerTarget = mostPerTarget;
+    }
+
+    Target target(long id) {
+        return targets.get(id);
+    }
+
+    /** A row of the route table names this address. */
+    void put(long id, String host, InetSocketAddress address) {
+        Target known = targets.get(id);
+        if (known == null || !known.address.equals(address)) {
+            remove(id);
+            targets.put(id, new Target(id, host, address));
+        }
+    }
+
+    void remove(long id) {
+        Target t = targets.remove(id);
+        if (t != null) {
+            t.gone = true;
+            List.copyOf(t.idle).forEach(EgressConnection::close);
+            List<Exchange> queued = new ArrayList<>(t.queue);
+            t.queue.clear();
+            queued.forEach(each -> {
+                if (each.wanted()) {
+                    each.broken(true);
+                }
+            });
+        }
+    }
+
+    void retain(java.util.Set<Long> named) {
+        for (Long id : List.copyOf(targets.keySet())) {
+            if (!named.contains(id)) {
+                remove(id);
+            }
+        }
+    }
+
+    /** Sends it on an idle connection, a new one, or when one frees. */
+    void send(Target t, Exchange exchange) {
+        EgressConnection idle = t.idle.pollFirst();
+        if (idle != null) {
+            idle.begin(exchange);
+            return;
+        }
+        if (t.open >= mostPerTarget || open >= mostOpen && !closeAnIdleOne()) {
+            t.queue.add(exchange);
+            return;
+        }
+        EgressConnection fresh;
+        try {
+            fresh = new EgressConnection(this, t);
+        } catch (IOException e) { // out of descriptors
+            LOG.log(Level.WARNING, "no socket: " + e.getMessage());
+            exchange.broken(true);
+            return;
+        }
+        t.open++;
+        open++;
+        fresh.open(exchange);
+    }
+
+    private boolean closeAnIdleOne() {
+        for (Target t : targets.values()) {
+            EgressConnection oldest = t.idle.pollLast();
+            if (oldest != null) {
+                oldest.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A connection has no exchange: the next that waits for one takes it. */
+    void idle(EgressConnection c) {
+        Target t = c.target();
+        if (c.closed()) {
+            return;
+        }
+        if (t.gone) {
+            c.close();
+            return;
+        }
+        Exchange next = t.queue.poll();
+        if (next != null) {
+            c.begin(next);
+        } else {
+            t.idle.addFirst(c);
+        }
+    }
+
+    void released(EgressConnection c) {
+        Target t = c.target();
+        t.open--;
+        open--;
+        t.idle.remove(c);
+        if (!t.queue.isEmpty() && !t.gone) {
+            send(t, t.queue.poll());
+        }
+    }
+
+    int open() {
+        return open;
+    }
+
+    void sweep(long now) {
+        for (Target t : targets.values()) {
+            while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > keepIdleNs) {
+                t.idle.peekLast().close();
+            }
+        }
+    }
+
+    void close() {
+        List.copyOf(targets.keySet()).forEach(this::remove);
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/Exchange.java
@@ -0,0 +1,20 @@
+package beechseam.platform;
+
+import beechseam.http.HttpParser;
+import java.nio.ByteBuffer;
+
+/** One request to an executor and its answer. */
+abstract class Exchange {
+    /** Where it is under way, from its first byte to its answer. */
+    EgressConnection connection;
+
+    /** Asked just before the first byte: false drops it, and it sees itself to whom it owes word. */
+    abstract boolean wanted();
+
+    abstract ByteBuffer bytes();
+
+    abstract void answered(HttpParser answer);
+
+    /** No answer will come. */
+    abstract void broken(boolean neverRan);
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -0,0 +1,166 @@
+package beechseam.platform;
+
+import beechseam.Dispatching.Effect;
+import beechseam.Dispatching.JobClass;
+import beechseam.core.Ingress;
+import beechseam.core.Request;
+import beechseam.http.HttpException;
+import beechseam.http.HttpParser;
+import beechseam.http.ServerConnection;
+import beechseam.http.Slice;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.Locale;
+
+/** A connection from the front, an executor that calls back, or an operator. */
+final class IngressConnection extends ServerConnection implements Ingress {
+    private static final String PLAIN = "Content-Type: text/plain\r\n";
+
+    private final PlatformNode node;
+    private Request request;
+
+    IngressConnection(PlatformNode node, SocketChannel channel) throws IOException {
+        super(node.loop, channel);
+        this.node = node;
+    }
+
+    @Override
+    protected void exchange(HttpParser m) {
+        Slice path = m.path();
+        boolean get = m.method().same("GET");
+        if (path.same("/v1/job-events")) {
+            if (allowed(m.method().same("POST"), "POST")) {
+                boolean understood = node.callbacks.take(m.body());
+                respond(understood ? 204 : 400, understood ? "" : PLAIN,
+                    understood ? Wire.NOTHING : text("not a job event"));
+                node.counters.badInput += understood ? 0 : 1;
+            }
+        } else if (path.same("/_health")) {
+            if (allowed(get, "GET")) {
+                boolean ready = node.ready();
+                respond(ready ? 200 : 503, PLAIN, text(ready ? "ready" : "not ready"));
+            }
+        } else if (path.same("/_counters")) {
+            if (allowed(get, "GET")) {
+                respond(200, "Content-Type: application/json\r\n", text(node.counters.toString()));
+            }
+        } else {
+            job(m, path);
+        }
+    }
+
+    private boolean allowed(boolean method, String allow) {
+        if (!method) {
+            node.counters.badInput++;
+            respond(405, PLAIN + "Allow: " + allow + "\r\n", text("use " + allow));
+        }
+        return method;
+    }
+
+    private void job(HttpParser m, Slice path) {
+        int second = path.length() == 0 ? -1 : path.part(1, path.length()).indexOf('/');
+        String first = path.length() < 2 ? ""
+            : path.part(1, second < 0 ? path.length() : second + 1).toString();
+        if (node.options.findClass(first) < 0) {
+            bad(404, "nothing is served at this path");
+            return;
+        }
+        if (!allowed(m.method().same("POST"), "POST")) {
+            return;
+        }
+        Slice named = m.header("x-service-class");
+        int jobClass = named == null ? -1 : node.options.findClass(named.toString());
+        Slice id = m.header("x-correlation-id");
+        long budget = Wire.time(m.header("x-time-left"));
+        Slice key = m.header("idempotency-key");
+        if (jobClass < 0 || !named.same(first)) {
+            bad(400, named == null ? "X-Service-Class is missing"
+                : "X-Service-Class names no class of this path");
+        } else if (id == null || id.length() == 0) {
+            bad(400, "X-Correlation-Id is missing");
+        } else if (budget < 0) {
+            bad(400, "X-Time-Left is missing or no time, such as 480m or 1500u");
+        } else if (key == null && keyed(jobClass)) {
+            bad(400, "Idempotency-Key is missing");
+        } else {
+            take(m, jobClass, id, budget, key);
+        }
+    }
+
+    private boolean keyed(int jobClass) {
+        JobClass c = node.options.settings.classes().get(jobClass);
+        return c.effect() == Effect.KEYED;
+    }
+
+    private void bad(int status, String why) {
+        node.counters.badInput++;
+        respond(status, PLAIN, text(why));
+    }
+
+    private void take(HttpParser m, int jobClass, Slice id, long budget, Slice key) {
+        StringBuilder headers = new StringBuilder(160).append("X-Correlation-Id: ").append(id)
+            .append("\r\nX-Service-Class: ").append(m.header("x-service-class")).append("\r\n");
+        if (key != null) {
+            headers.append("Idempotency-Key: ").append(key).append("\r\n");
+        }
+        Slice type = m.header("content-type");
+        if (type != null) {
+            headers.append("Content-Type: ").append(type).append("\r\n");
+        }
+        Slice facts = m.header("x-facts");
+        double slots = Wire.fact(facts, "slots");
+        double memory = Wire.fact(facts, "memory");
+        JobMessage message = new JobMessage(m.target().toString(), headers.toString(), m.body().copy());
+        Request taken = node.engine.take(id.toString(), jobClass, budget, slots > 0 ? slots : 1,
+            memory >= 0 ? memory : 0, message, this);
+        if (taken == null) {
+            bad(409, "a request with this X-Correlation-Id is still open");
+        } else if (!taken.finished()) {
+            request = taken;
+        }
+    }
+
+    @Override
+    public void served(Request r, byte[] result) {
+        request = null;
+        respond(200, "Content-Type: application/octet-stream\r\n", result);
+    }
+
+    @Override
+    public void shed(Request r, long pauseNs) {
+        request = null;
+        String pause = pauseNs <= 0 ? ""
+            : String.format(Locale.ROOT, "Retry-After: %.3f\r\n", pauseNs / 1e9);
+        respond(503, PLAIN + pause, text("too busy; trying again is harmless"));
+    }
+
+    @Override
+    public void failed(Request r, String why) {
+        request = null;
+        respond(502, PLAIN, text(why));
+    }
+
+    @Override
+    protected void refused(HttpException why) {
+        node.counters.badInput++;
+    }
+
+    @Override
+    protected boolean stopping() {
+        return node.stopping();
+    }
+
+    @Override
+    protected void lost(IOException why) {
+        if (request != null) {
+            Request gone = request;
+            request = null;
+            node.engine.left(gone);
+        }
+    }
+
+    @Override
+    protected void released() {
+        node.released(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -0,0 +1,229 @@
+package beechseam.platform;
+
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Outcome;
+import beechseam.config.Json;
+import beechseam.config.ModuleOptions;
+import beechseam.core.Egress;
+import beechseam.core.Engine;
+import beechseam.core.Hop;
+import beechseam.core.Timer;
+import beechseam.http.HttpParser;
+import beechseam.http.HttpWriter;
+import beechseam.http.Slice;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Map;
+
+/** Hops, their cancels and probes as HTTP exchanges with executors. */
+final class PlatformEgress implements Egress {
+    private static final long PROBE_TIMEOUT_NS = 500_000_000L;
+
+    private final EgressPool pool;
+    private final ModuleOptions options;
+    private Engine engine;
+
+    PlatformEgress(EgressPool pool, ModuleOptions options) {
+        this.pool = pool;
+        this.options = options;
+    }
+
+    void attach(Engine theEngine) {
+        engine = theEngine;
+    }
+
+    @Override
+    public void send(Hop hop) {
+        EgressPool.Target target = pool.target(hop.target);
+        if (target == null) {
+            engine.ended(hop, Outcome.NOT_SENT, null, null);
+            return;
+        }
+        Handing handing = new Handing(hop, target);
+        hop.carrier = handing;
+        pool.send(target, handing);
+    }
+
+    @Override
+    public void cancel(Hop hop) {
+        if (hop.carrier instanceof Handing handing) {
+            handing.giveUp();
+        }
+    }
+
+    @Override
+    public void probe(long id) {
+        EgressPool.Target target = pool.target(id);
+        if (target == null) {
+            engine.probed(id, false, null);
+        } else {
+            pool.send(target, new Probe(target));
+        }
+    }
+
+    /** The job's way to the executor, up to the 202; what comes of it then is told by call-back. */
+    private final class Handing extends Exchange {
+        private final Hop hop;
+        private final EgressPool.Target target;
+        private boolean accepted;
+        private boolean givenUp;
+
+        Handing(Hop hop, EgressPool.Target target) {
+            this.hop = hop;
+            this.target = target;
+        }
+
+        @Override
+        boolean wanted() {
+            if (hop.over() || givenUp) {
+                return false;
+            }
+            if (!engine.routes().serving(hop.target)) {
+                // It waited for a connection while the target was told to drain: drains count at this byte.
+                engine.counters().withheld++;
+                engine.ended(hop, Outcome.NOT_SENT, null, null);
+                return false;
+            }
+            return true;
+        }
+
+        @Override
+        ByteBuffer bytes() {
+            JobMessage m = (JobMessage) hop.request.message;
+            long leftMs = Math.max(1, (hop.request.deadlineAt - engine.now()) / 1_000_000L);
+            return HttpWriter.request("POST", m.target(), target.host,
+                m.headers() + "X-Time-Left: " + leftMs + "m\r\n", m.body());
+        }
+
+        @Override
+        void answered(HttpParser answer) {
+            int status = answer.status();
+            if (status == 202) {
+                accepted = true;
+                if (givenUp) {
+                    delete();
+                }
+                return;
+            }
+            Slice unprocessed = answer.header("x-unprocessed");
+            boolean neverRan = (status == 503 || status == 504) && unprocessed != null
+                && unprocessed.same("1");
+            engine.ended(hop, neverRan ? Outcome.REFUSED : Outcome.ERROR, null,
+                Wire.load(options, answer.header("x-backend-load")));
+        }
+
+        @Override
+        void broken(boolean neverRan) {
+            engine.ended(hop, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
+        }
+
+        /** Under way it is taken back once the 202 is there: sooner, the DELETE might overtake it. */
+        void giveUp() {
+            if (!givenUp) {
+                givenUp = true;
+                if (accepted) {
+                    delete();
+                }
+            }
+        }
+
+        private void delete() {
+            pool.send(target, new Delete(target, hop.request.correlation));
+        }
+    }
+
+    private static final class Delete extends Exchange {
+        private final EgressPool.Target target;
+        private final String id;
+
+        Delete(EgressPool.Target target, String id) {
+            this.target = target;
+            this.id = id;
+        }
+
+        @Override
+        boolean wanted() {
+            return !target.gone;
+        }
+
+        @Override
+        ByteBuffer bytes() {
+            return HttpWriter.request("DELETE", "/jobs/" + id, target.host,
+                "X-Correlation-Id: " + id + "\r\n", Wire.NOTHING);
+        }
+
+        @Override
+        void answered(HttpParser answer) {
+            // Whatever it says, the node has given the attempt up.
+        }
+
+        @Override
+        void broken(boolean neverRan) {
+            // As above.
+        }
+    }
+
+    private final class Probe extends Exchange {
+        private final EgressPool.Target target;
+        private boolean told;
+        private final Timer timeout = new Timer() {
+            @Override
+            protected void fire() {
+                tell(false, null);
+                if (connection != null) {
+                    connection.abandon();
+                }
+            }
+        };
+
+        Probe(EgressPool.Target target) {
+            this.target = target;
+            pool.loop.timers.set(timeout, pool.loop.now() + PROBE_TIMEOUT_NS);
+        }
+
+        private void tell(boolean answered, Load load) {
+            if (!told) {
+                told = true;
+                pool.loop.timers.cancel(timeout);
+                engine.probed(target.id, answered, load);
+            }
+        }
+
+        @Override
+        boolean wanted() {
+            boolean wanted = !told && engine.routes().serving(target.id);
+            if (!wanted) {
+                tell(false, null);
+            }
+            return wanted;
+        }
+
+        @Override
+        ByteBuffer bytes() {
+            return HttpWriter.request("GET", "/_load", target.host, "", Wire.NOTHING);
+        }
+
+        @Override
+        void answered(HttpParser answer) {
+            Load load = null;
+            Slice body = answer.body();
+            try {
+                if (body.length() > 0
+                    && Json.parse(body.bytes(), body.from(), body.length()) instanceof Map<?, ?> report) {
+                    load = Wire.load(options, report.get("load") instanceof Map<?, ?> inner ? inner : report);
+                }
+            } catch (IOException e) {
+                load = Wire.load(options, body); // a report in the header's form
+            }
+            if (load == null) {
+                load = Wire.load(options, answer.header("x-backend-load"));
+            }
+            tell(answer.status() == 200, load);
+        }
+
+        @Override
+        void broken(boolean neverRan) {
+            tell(false, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -0,0 +1,151 @@
+package beechseam.platform;
+
+import beechseam.config.ModuleOptions;
+import beechseam.config.NodeConfig;
+import beechseam.core.Counters;
+import beechseam.core.Engine;
+import beechseam.core.Timer;
+import beechseam.net.EventLoop;
+import beechseam.net.Listener;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A node on the platform's protocol: one listener, one core, the way to the executors, and discovery. */
+public final class PlatformNode {
+    private static final Logger LOG = System.getLogger(PlatformNode.class.getName());
+    private static final long SWEEP_NS = 1_000_000_000L;
+    private static final long STALL_NS = 10_000_000_000L;
+    private static final long IDLE_NS = 120_000_000_000L;
+    /** After SIGTERM clients still come for a while; then connections that stand idle are closed. */
+    private static final long LINGER_NS = 700_000_000L;
+    private static final long DRAIN_CHECK_NS = 20_000_000L;
+    /** Descriptors kept back for the selector, files of the runtime, and the odd accept. */
+    private static final int SPARE_SOCKETS = 64;
+
+    final EventLoop loop;
+    final Counters counters = new Counters();
+    final ModuleOptions options;
+    final Engine engine;
+    final Callbacks callbacks;
+    private final EgressPool pool;
+    private final Discovery discovery;
+    private final Listener listener;
+    private final Set<IngressConnection> ingress = new LinkedHashSet<>();
+    private final int mostIngress;
+    private final Timer sweep = new Timer() {
+        @Override
+        protected void fire() {
+            sweep();
+        }
+    };
+    private final Timer drain = new Timer() {
+        @Override
+        protected void fire() {
+            drained();
+        }
+    };
+    private boolean stopping;
+    private long stoppingSince;
+
+    public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
+        this.loop = loop;
+        options = config.options();
+        int sockets = Math.max(16, config.sockets() - SPARE_SOCKETS);
+        int mostEgress = sockets * 3 / 8;
+        mostIngress = sockets - mostEgress - 1;
+        pool = new EgressPool(loop, config.connectTimeoutNs(), options.settings.limits().idleCloseNs(),
+            mostEgress, Math.max(4, mostEgress / 4));
+        PlatformEgress egress = new PlatformEgress(pool, options);
+        engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
+        egress.attach(engine);
+        callbacks = new Callbacks(engine, options);
+        discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool);
+        discovery.start(config.known());
+        listener = new Listener(loop, config.listen(), this::accept);
+        loop.timers.set(sweep, loop.now() + SWEEP_NS);
+        LOG.log(Level.INFO, config.name() + " listens on " + listener.address());
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    private void accept(SocketChannel channel) throws IOException {
+        if (ingress.size() >= mostIngress && !closeAnIdleOne()) {
+            listener.accepting(false); // the next wait in the kernel until one here ends
+        }
+        ingress.add(new IngressConnection(this, channel));
+    }
+
+    private boolean closeAnIdleOne() {
+        for (IngressConnection each : ingress) {
+            if (each.idle()) {
+                each.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void released(IngressConnection connection) {
+        ingress.remove(connection);
+        if (ingress.size() < mostIngress) {
+            listener.accepting(true);
+        }
+    }
+
+    /** Knows executors, by the list held or by discovery, and is not on its way out. */
+    boolean ready() {
+        return !stopping && (engine.routes().size() > 0 || discovery.held());
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    private void sweep() {
+        long now = loop.now();
+        for (IngressConnection each : List.copyOf(ingress)) {
+            each.sweep(now, STALL_NS, IDLE_NS);
+        }
+        pool.sweep(now);
+        loop.timers.set(sweep, now + SWEEP_NS);
+    }
+
+    /** A planned end: everything taken is answered, then the loop stops. */
+    public void stop() {
+        if (!stopping) {
+            stopping = true;
+            stoppingSince = loop.now();
+            LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
+            drained();
+        }
+    }
+
+    private void drained() {
+        long now = loop.now();
+        boolean lingered = now - stoppingSince > LINGER_NS;
+        if (lingered) {
+            List.copyOf(ingress).stream().filter(IngressConnection::idle).forEach(IngressConnection::close);
+        }
+        // The listener stays to the last: call-backs come to it.
+        if (lingered && engine.open() == 0 && ingress.isEmpty()) {
+            listener.close();
+            discovery.stop();
+            pool.close();
+            loop.stop();
+        } else {
+            loop.timers.set(drain, now + DRAIN_CHECK_NS);
+        }
+    }
+}
--- a/src/main/java/beechseam/sim/Adapter.java
+++ b/src/main/java/beechseam/sim/Adapter.java
@@ -18,6 +18,7 @@
 import beechseam.Dispatching.Outcome;
 import beechseam.Dispatching.State;
 import beechseam.Dispatching.Worker;
+import beechseam.config.ModuleOptions;
 
 /** Speaks the simulator's wire on a pair of streams and hosts any number of instances; it decides nothing. */
 public final class Adapter {
@@ -32,7 +33,7 @@
     private long now;
 
     /** One instance of the module with what the wire needs to know of it. */
-    private record Instance(Dispatcher module, Options options) {
+    private record Instance(Dispatcher module, ModuleOptions options) {
     }
 
     public Adapter(InputStream in, OutputStream out) throws IOException {
@@ -110,7 +111,7 @@
         if (m.options == null) {
             throw new IOException("Born without Options");
         }
-        Options options = Options.of(m.options);
+        ModuleOptions options = ModuleOptions.of(m.options);
         Dispatcher module = new Dispatcher(now, options.settings, m.randomSeed, out.forInstance(m.who));
         instances.put(m.who, new Instance(module, options));
     }
--- a/src/main/java/beechseam/sim/Message.java
+++ b/src/main/java/beechseam/sim/Message.java
@@ -2,10 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import beechseam.config.Json;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /** The fields of one message of the wire, whatever their order; absent ones keep the wire's defaults. */
@@ -57,7 +55,7 @@
             case "SimTimeNs" -> simTimeNs = in.getLongValue();
             case "Who" -> who = in.getIntValue();
             case "RandomSeed" -> randomSeed = in.getNumberValue().longValue();
-            case "Options" -> options = (Map<?, ?>) tree(in);
+            case "Options" -> options = (Map<?, ?>) Json.tree(in);
             case "Form" -> form = in.getIntValue();
             case "Bank" -> bank = in.getIntValue();
             case "Corr" -> corr = in.getLongValue();
@@ -89,41 +87,4 @@
             }
         }
     }
-
-    /** The value at the parser as maps, lists, numbers, strings and booleans. */
-    private static Object tree(JsonParser in) throws IOException {
-        switch (in.currentToken()) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new HashMap<>();
-                while (in.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = in.currentName();
-                    in.nextToken();
-                    map.put(name, tree(in));
-                }
-                return map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(tree(in));
-                }
-                return list;
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
-                return in.getNumberValue();
-            }
-            case VALUE_TRUE -> {
-                return true;
-            }
-            case VALUE_FALSE -> {
-                return false;
-            }
-            case VALUE_NULL -> {
-                return null;
-            }
-            default -> {
-                return in.getText();
-            }
-        }
-    }
 }
