--- a/src/main/java/beechseam/cli/CheckConfig.java
+++ b/src/main/java/beechseam/cli/CheckConfig.java
@@ -1,6 +1,7 @@
 package beechseam.cli;
 
 import beechseam.config.ConfigException;
+import beechseam.config.GearmanConfig;
 import beechseam.config.NodeConfig;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -13,12 +14,23 @@
     @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
     private String config;
 
+    @Parameter(names = "--gearman", description = "An operator's file for Gearman's protocol")
+    private String gearman;
+
     @Override
     public void run() throws ConfigException {
         Map<String, String> environment = new HashMap<>(System.getenv());
         if (config != null) {
             environment.put("PROXY_CONFIG", config);
         }
+        if (gearman != null) {
+            GearmanConfig second = GearmanConfig.read(gearman);
+            System.out.println("good: " + second.name() + " on " + second.listen() + ", "
+                + second.functions().size() + " functions");
+            if (!environment.containsKey("PROXY_CONFIG")) {
+                return;
+            }
+        }
         NodeConfig node = NodeConfig.of(environment);
         System.out.println("good: " + node.name() + " on " + node.listen() + ", "
             + node.options().settings.classes().size() + " classes, " + node.known().servers().size()
--- a/src/main/java/beechseam/core/Counters.java
+++ b/src/main/java/beechseam/core/Counters.java
@@ -17,7 +17,7 @@
     public long faults;
     private final long[] ended = new long[Outcome.values().length];
 
-    void ended(Outcome outcome) {
+    void count(Outcome outcome) {
         ended[outcome.ordinal()]++;
     }
 
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -130,7 +130,7 @@
         for (Hop hop : List.copyOf(r.hops)) {
             if (!hop.over) {
                 egress.cancel(hop);
-                end(hop, Outcome.TIMEOUT, null, null);
+                end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         }
         if (!r.finished) { // the module would still wait, but the client does not
@@ -184,7 +184,7 @@
         Request r = hop.request;
         hop.over = true;
         r.out--;
-        counters.ended(outcome);
+        counters.count(outcome);
         if (hop.timeout != null) {
             timers.cancel(hop.timeout);
         }
@@ -299,7 +299,7 @@
         tell(() -> {
             if (hop != null && !hop.over) {
                 egress.cancel(hop);
-                end(hop, Outcome.TIMEOUT, null, null);
+                end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         });
     }
--- a/src/main/java/beechseam/core/Hop.java
+++ b/src/main/java/beechseam/core/Hop.java
@@ -9,6 +9,7 @@
     public Object carrier;
     final Timer timeout;
     boolean over;
+    boolean begun;
 
     Hop(Request request, int number, long target, Timer timeout) {
         this.request = request;
@@ -17,6 +18,11 @@
         this.timeout = timeout;
     }
 
+    /** Its first byte goes out: from here on it may run. */
+    public void begun() {
+        begun = true;
+    }
+
     /** Ended or given up: whatever comes of it now is too late. */
     public boolean over() {
         return over;
--- a/src/main/java/beechseam/core/Timer.java
+++ b/src/main/java/beechseam/core/Timer.java
@@ -3,6 +3,7 @@
 /** Something that happens at a time; it is its own handle, armed at most once at a time. */
 public abstract class Timer implements Comparable<Timer> {
     private long due;
+    private long order;
     private boolean armed;
 
     /** Its time has come. */
@@ -21,14 +22,20 @@
         return armed;
     }
 
-    /** For the queue that holds it. */
-    public final void arm(long at, boolean on) {
+    /** For the queue that holds it; {@code mark} tells apart those of one time. */
+    public final void arm(long at, long mark) {
         due = at;
-        armed = on;
+        order = mark;
+        armed = true;
+    }
+
+    public final void disarm() {
+        armed = false;
     }
 
     @Override
     public final int compareTo(Timer other) {
-        return Long.compare(due, other.due);
+        int byTime = Long.compare(due, other.due);
+        return byTime != 0 ? byTime : Long.compare(order, other.order);
     }
 }
--- a/src/main/java/beechseam/net/TimerQueue.java
+++ b/src/main/java/beechseam/net/TimerQueue.java
@@ -2,45 +2,40 @@
 
 import beechseam.core.Timer;
 import beechseam.core.Timers;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 
-/** Armed timers by their time. */
+/** Armed timers by their time; those of one time in the order in which they were set. */
 public final class TimerQueue implements Timers {
-    private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+    private final TreeSet<Timer> queue = new TreeSet<>();
+    private long order;
 
     @Override
     public void set(Timer timer, long at) {
         cancel(timer);
-        timer.arm(at, true);
+        timer.arm(at, ++order);
         queue.add(timer);
     }
 
     @Override
     public void cancel(Timer timer) {
         if (timer.armed()) {
-            timer.arm(0, false);
-            removeSame(timer);
+            queue.remove(timer);
+            timer.disarm();
         }
     }
 
-    private void removeSame(Timer timer) {
-        queue.removeIf(each -> each == timer); // compareTo is by time, so equality must not decide
-    }
-
     /** Time until the next is due, at most {@code most}; 0 when one is due. */
     public long untilNext(long now, long most) {
-        Timer next = queue.peek();
-        return next == null ? most : Math.max(0, Math.min(most, next.due() - now));
+        return queue.isEmpty() ? most : Math.max(0, Math.min(most, queue.first().due() - now));
     }
 
     /** Takes out the next that is due, or null. */
     public Timer due(long now) {
-        Timer next = queue.peek();
-        if (next == null || next.due() > now) {
+        if (queue.isEmpty() || queue.first().due() > now) {
             return null;
         }
-        queue.poll();
-        next.arm(next.due(), false);
+        Timer next = queue.pollFirst();
+        next.disarm();
         return next;
     }
 }
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -84,6 +84,7 @@
                 engine.ended(hop, Outcome.NOT_SENT, null, null);
                 return false;
             }
+            hop.begun();
             return true;
         }
 
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -51,6 +51,7 @@
         }
     };
     private boolean stopping;
+    private Runnable stopped;
     private long stoppingSince;
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
@@ -122,10 +123,11 @@
         loop.timers.set(sweep, now + SWEEP_NS);
     }
 
-    /** A planned end: everything taken is answered, then the loop stops. */
-    public void stop() {
+    /** A planned end: everything taken is answered, then it calls back. */
+    public void stop(Runnable done) {
         if (!stopping) {
             stopping = true;
+            stopped = done;
             stoppingSince = loop.now();
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             drained();
@@ -143,7 +145,8 @@
             listener.close();
             discovery.stop();
             pool.close();
-            loop.stop();
+            loop.timers.cancel(sweep);
+            stopped.run();
         } else {
             loop.timers.set(drain, now + DRAIN_CHECK_NS);
         }
--- a/src/test/java/beechseam/Loopback.java
+++ b/src/test/java/beechseam/Loopback.java
@@ -16,7 +16,7 @@
 
 /** The one helper of the socket tests: a loop turned by hand, with peers and stand-ins on loopback. */
 public final class Loopback implements AutoCloseable {
-    private static final long PATIENCE_NS = 20_000_000_000L;
+    private static final long PATIENCE_NS = 10_000_000_000L;
 
     public final EventLoop loop;
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -130,6 +130,11 @@
             return all;
         }
 
+        /** Puts back what was taken too much. */
+        public void unread(String rest) {
+            heard.insert(0, rest);
+        }
+
         @Override
         protected void received(ByteBuffer bytes) {
             heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
--- /dev/null
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -0,0 +1,204 @@
+package beechseam.core;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.Dispatching.Effect;
+import beechseam.Dispatching.Group;
+import beechseam.Dispatching.JobClass;
+import beechseam.Dispatching.Limits;
+import beechseam.Dispatching.ListForm;
+import beechseam.Dispatching.Load;
+import beechseam.Dispatching.Outcome;
+import beechseam.Dispatching.Reports;
+import beechseam.Dispatching.Rules;
+import beechseam.Dispatching.Settings;
+import beechseam.Dispatching.State;
+import beechseam.Dispatching.Worker;
+import beechseam.net.TimerQueue;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** The core between a front and an egress that do anything at any time, against the rules it must keep. */
+class EngineTest {
+    private static final long MS = 1_000_000L;
+    private static final long S = 1000 * MS;
+
+    /** A host whose clock and wires the test moves by hand. */
+    private static final class World implements Egress, Ingress {
+        final TimerQueue timers = new TimerQueue();
+        final Counters counters = new Counters();
+        final List<Hop> out = new ArrayList<>();
+        final List<Request> taken = new ArrayList<>();
+        final Map<Request, String> answers = new HashMap<>();
+        final Engine engine;
+        long now = 1_700_000_000L * S;
+        boolean failAtOnce;
+
+        World(Effect effect) {
+            JobClass jobs = new JobClass("c", 400 * MS, 4 * S, 2, 1, 0, effect, Group.CELL, 2 * S, null);
+            engine = new Engine(new Settings(List.of(jobs),
+                new Limits(4, S, true, true, false, true, 10 * S),
+                new Rules(300 * MS, 8 * S, 0.25, 8 * S, 3, S, false), Reports.ANSWERS, false, 1, 0, "z", true,
+                S, 0.05, 0, 0), 5, () -> now, timers, this, counters);
+            list(3, State.READY);
+        }
+
+        void list(int count, State state) {
+            List<Worker> lines = new ArrayList<>();
+            for (int i = 1; i <= count; i++) {
+                lines.add(new Worker(i, i % 2, "z", "k", 0, i == 1 ? state : State.READY));
+            }
+            engine.routes(ListForm.FULL, lines);
+        }
+
+        Request take(String name) {
+            Request r = engine.take(name, 0, 4 * S, 1, 0, "message", this);
+            if (r != null) {
+                taken.add(r);
+            }
+            return r;
+        }
+
+        void pass(long ns) {
+            long until = now + ns;
+            while (timers.untilNext(now, until - now) < until - now || timers.untilNext(now, 1) == 0) {
+                now += timers.untilNext(now, until - now);
+                timers.due(now).run();
+            }
+            now = until;
+        }
+
+        @Override
+        public void send(Hop hop) {
+            assertFalse(hop.request.finished(), "sent after the final answer");
+            assertTrue(engine.routes().serving(hop.target), "sent to a target that is not in service");
+            assertNull(answers.get(hop.request));
+            if (failAtOnce) { // the way a refused connect on loopback reports itself
+                engine.ended(hop, Outcome.UNREACHABLE, null, null);
+            } else {
+                hop.begun();
+                out.add(hop);
+            }
+        }
+
+        @Override
+        public void cancel(Hop hop) {
+            assertTrue(out.remove(hop), "cancelled a hop that is not out");
+        }
+
+        @Override
+        public void probe(long target) {
+            engine.probed(target, false, null);
+        }
+
+        private void answer(Request r, String how) {
+            assertTrue(now < r.deadlineAt, "too late for the client");
+            assertNull(answers.put(r, how), "a second final answer");
+        }
+
+        @Override
+        public void served(Request r, byte[] result) {
+            answer(r, "served " + new String(result));
+        }
+
+        @Override
+        public void shed(Request r, long pauseNs) {
+            answer(r, "shed " + pauseNs);
+        }
+
+        @Override
+        public void failed(Request r, String why) {
+            answer(r, "failed");
+        }
+    }
+
+    @Property(seed = "20261201", tries = 300)
+    void everyRequestGetsOneAnswerInTimeWhateverTheWiresDo(@ForAll long seed,
+                                                            @ForAll @IntRange(min = 0, max = 2) int effect) {
+        World w = new World(Effect.values()[effect]);
+        Random random = new Random(seed);
+        List<Request> left = new ArrayList<>();
+        for (int step = 0; step < 120; step++) {
+            Hop hop = w.out.isEmpty() ? null : w.out.get(random.nextInt(w.out.size()));
+            switch (random.nextInt(9)) {
+                case 0, 1 -> w.take("r" + random.nextInt(200));
+                case 2 -> w.pass(random.nextInt(300) * MS);
+                case 3 -> w.list(1 + random.nextInt(3), State.values()[random.nextInt(2)]);
+                case 4 -> w.failAtOnce = random.nextInt(4) == 0;
+                case 5 -> {
+                    if (!w.taken.isEmpty()) {
+                        Request r = w.taken.get(random.nextInt(w.taken.size()));
+                        if (!r.finished()) {
+                            left.add(r);
+                        }
+                        w.engine.left(r);
+                    }
+                }
+                case 6 -> {
+                    if (hop != null) {
+                        w.engine.started(hop);
+                        w.engine.progress(hop, random.nextDouble());
+                    }
+                }
+                default -> {
+                    if (hop != null) {
+                        Outcome[] all = {Outcome.SERVED, Outcome.ERROR, Outcome.REFUSED, Outcome.LOST};
+                        w.out.remove(hop);
+                        Outcome how = all[random.nextInt(all.length)];
+                        w.engine.ended(hop, how, new byte[0], new Load(1, 0, 3, Double.NaN, 0.2));
+                        w.engine.ended(hop, Outcome.SERVED, new byte[0], null); // told twice: passed over
+                    }
+                }
+            }
+        }
+        w.pass(6 * S);
+        for (Request r : w.taken) {
+            assertNotEquals(left.contains(r), w.answers.containsKey(r), "answered, or its client left");
+        }
+        assertEquals(0, w.engine.open(), "nothing is kept of what is over");
+        assertEquals(0, w.counters.faults);
+        assertEquals(w.counters.taken, w.answers.size() + left.size());
+    }
+
+    /** A connect refused within the send must not enter the module while it acts. */
+    @Test
+    void anEndWithinTheSendWaitsForTheModule() {
+        World w = new World(Effect.UNSAFE);
+        w.failAtOnce = true;
+        Request r = w.take("a");
+        w.pass(4 * S);
+        assertTrue(w.answers.get(r).startsWith("shed"), "it never ran: a further try is harmless");
+        assertEquals(0, w.counters.faults);
+        assertEquals(w.counters.sent, w.counters.ended(Outcome.UNREACHABLE));
+    }
+
+    /** The module sends without a time-out: the host owes the end, in time for an answer. */
+    @Test
+    void silenceEndsAsTimeoutBeforeTheClientGivesUp() {
+        World w = new World(Effect.UNSAFE);
+        Request r = w.take("a");
+        w.pass(4 * S - 26 * MS);
+        assertNull(w.answers.get(r));
+        w.pass(2 * MS);
+        assertEquals("failed", w.answers.get(r), "it may have run");
+        assertEquals(1, w.counters.ended(Outcome.TIMEOUT));
+    }
+
+    @Test
+    void aNameThatIsOpenIsNotTakenTwice() {
+        World w = new World(Effect.SAFE);
+        Request r = w.take("a");
+        assertNull(w.take("a"));
+        Hop hop = w.out.remove(0);
+        w.engine.ended(hop, Outcome.SERVED, "ok".getBytes(), null);
+        assertEquals("served ok", w.answers.get(r));
+        assertNotNull(w.take("a"), "it is free again");
+    }
+}
