--- a/src/main/java/beechseam/http/HttpParser.java
+++ b/src/main/java/beechseam/http/HttpParser.java
@@ -138,7 +138,7 @@
         untilClose = false;
         for (int i = 0; i < count; i++) {
             if (names[i].is("content-length")) {
-                long each = number(values[i], Long.MAX_VALUE / 10);
+                long each = number(values[i], Long.MAX_VALUE / 100);
                 if (length >= 0 && length != each) {
                     throw new HttpException(400, "conflicting lengths");
                 }
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -24,6 +24,7 @@
     private static final long IDLE_NS = 120_000_000_000L;
     /** After SIGTERM clients still come for a while; then connections that stand idle are closed. */
     private static final long LINGER_NS = 700_000_000L;
+    private static final long QUIET_NS = 200_000_000L;
     private static final long DRAIN_CHECK_NS = 20_000_000L;
     /** Descriptors kept back for the selector, files of the runtime, and the odd accept. */
     private static final int SPARE_SOCKETS = 64;
@@ -138,7 +139,9 @@
         long now = loop.now();
         boolean lingered = now - stoppingSince > LINGER_NS;
         if (lingered) {
-            List.copyOf(ingress).stream().filter(IngressConnection::idle).forEach(IngressConnection::close);
+            // One just accepted looks idle until its first bytes are read: a call-back may be on its way.
+            List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS)
+                .forEach(IngressConnection::close);
         }
         // The listener stays to the last: call-backs come to it.
         if (lingered && engine.open() == 0 && ingress.isEmpty()) {
--- /dev/null
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -0,0 +1,378 @@
+package beechseam.platform;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.Loopback;
+import beechseam.Loopback.Peer;
+import beechseam.config.ConfigException;
+import beechseam.config.Json;
+import beechseam.config.NodeConfig;
+import beechseam.config.Tree;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A whole node on loopback, with stand-ins for discovery, executors and clients. */
+class PlatformNodeTest {
+    private static final String SETTINGS = """
+        {"Classes":[
+          {"Name":"safe","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"read_like","Worth":1},
+          {"Name":"once","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"non_idempotent","Worth":1},
+          {"Name":"keyed","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"idempotency_key",
+           "Group":"cell","WindowNs":30000000000,"Worth":1}],
+         "Limits":{"MaxAttempts":4,"Cancel":true,"RetryAfter":true,"MaxRetryAfterNs":1500000000,
+           "SecondCopies":false,"IdleCloseNs":60000000000,"ConnectTimeoutNs":250000000},
+         "Rules":{"DrainGraceNs":300000000,"StartCapacity":0.3,"ColdNs":1000000000,"OverloadFactor":3,
+           "OverloadForNs":1000000000},
+         "LoadInfo":{"How":"piggyback","Columns":["x0","outstanding"]},"Locality":"a","GroupSize":1,
+         "Specifics":{"ClassStretch":[10,10,10],"TellsStart":true,"ReportX0":"free slots"}}
+        """;
+
+    private final Loopback net = new Loopback();
+    private final List<Peer> discovery = new ArrayList<>();
+    private final List<Peer> executor = new ArrayList<>();
+    private final InetSocketAddress executorAt = net.standIn(executor);
+    private final PlatformNode node;
+    private boolean stopped;
+
+    PlatformNodeTest() throws IOException, ConfigException {
+        byte[] text = ("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+            + net.standIn(discovery).getPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":128},\"known\":"
+            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
+        node = new PlatformNode(net.loop,
+            NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length))));
+    }
+
+    @AfterEach
+    @AfterProperty
+    void close() {
+        net.close();
+    }
+
+    private String row(String state) {
+        return "{\"id\":\"s-0badcafe\",\"addr\":\"127.0.0.1:" + executorAt.getPort()
+            + "\",\"zone\":\"a\",\"kind\":\"k\",\"cell\":3,\"state\":\"" + state + "\",\"started_ms\":0}";
+    }
+
+    private static String list(int version, String rows) {
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + rows + "]}";
+    }
+
+    private static String answer(String status, String body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private Peer client() {
+        try {
+            return net.dial(node.address());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Peer ask(String id, String jobClass, String left) {
+        return client().say("POST /" + jobClass + "/x?key=7 HTTP/1.1\r\nX-Correlation-Id: " + id
+            + "\r\nX-Service-Class: " + jobClass + "\r\nX-Time-Left: " + left
+            + "\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody");
+    }
+
+    private void event(String id, String rest) {
+        String event = "{\"id\":\"" + id + "\"," + rest + "}";
+        Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+            + event.length() + "\r\n\r\n" + event);
+        net.until("the event's 204", () -> caller.heard().startsWith("HTTP/1.1 204"));
+    }
+
+    private void done(String id, String result) {
+        event(id, "\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":\"" + result
+            + "\",\"load\":{\"x0\":3,\"inflight\":1}");
+    }
+
+    private Peer hop(int connection, String id) {
+        net.until("the hop of " + id, () -> executor.size() > connection
+            && executor.get(connection).heard().contains("X-Correlation-Id: " + id) && whole(connection));
+        return executor.get(connection);
+    }
+
+    private boolean whole(int connection) {
+        return executor.get(connection).heard().endsWith("\r\n\r\nbody");
+    }
+
+    private String heard(Peer peer, String end) {
+        net.until("an answer", () -> peer.heard().endsWith(end));
+        return peer.take();
+    }
+
+    @Test
+    void aJobPassesOnUnchangedAndItsResultComesBack() {
+        Peer client = ask("c1", "keyed", "30000m");
+        String sent = hop(0, "c1").take();
+        assertTrue(sent.startsWith("POST /keyed/x?key=7 HTTP/1.1\r\n"), sent);
+        assertTrue(sent.contains("Idempotency-Key: k1\r\n"), sent);
+        assertTrue(sent.matches("(?s).*X-Time-Left: (29\\d\\d\\d|30000)m\r\n.*"), sent);
+        executor.get(0).say(answer("202 Accepted", ""));
+        event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
+        event("c1", "\"from\":\"s-0badcafe\",\"state\":\"running\",\"share\":0.4");
+        done("c1", "r\\u00e9\\n1");
+        String got = heard(client, "1");
+        assertTrue(got.startsWith("HTTP/1.1 200 OK\r\n"), got);
+        assertTrue(got.endsWith("\r\n\r\nr\u00c3\u00a9\n1"), "the text of the result in UTF-8: " + got);
+        done("c1", "again");
+        event("c9", "\"from\":\"s-0badcafe\",\"state\":\"done\"");
+        assertEquals(2, node.counters.lateCallbacks);
+        assertEquals(1, node.counters.served);
+    }
+
+    /** Call-backs may overtake the 202; the connection is used on once that has come. */
+    @Test
+    void aCallbackBeforeTheAcceptanceCountsAndTheConnectionLivesOn() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").take();
+        done("c1", "early");
+        heard(client, "early");
+        executor.get(0).say(answer("202 Accepted", ""));
+        ask("c2", "once", "30000m");
+        hop(0, "c2");
+        assertEquals(1, executor.size());
+        assertFalse(executor.get(0).heard().contains("DELETE"), "what is done is not given up");
+    }
+
+    @Test
+    void anEventFromAnotherExecutorIsNotTheHops() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").say(answer("202 Accepted", ""));
+        event("c1", "\"from\":\"s-0000beef\",\"state\":\"failed\"");
+        event("c1", "\"from\":\"nonsense\",\"state\":\"done\"");
+        done("c1", "mine");
+        assertTrue(heard(client, "mine").startsWith("HTTP/1.1 200"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "HTTP/1.1 503 Busy~X-Unprocessed: 1~Content-Length: 0~~ | 503", // it never ran: shed in the end
+        "HTTP/1.1 504 Late~X-Unprocessed: 1~Content-Length: 0~~ | 503",
+        "HTTP/1.1 503 Busy~Content-Length: 0~~ | 502", // it may have run
+        "HTTP/1.1 500 Oops~Content-Length: 0~~ | 502",
+        "HTTP/1.1 400 What~Content-Length: 0~~ | 502",
+        "nonsense~~ | 502"})
+    void whatAnExecutorAnswersDecidesWhetherAnUnsafeJobMayBeRefused(String said, int status) {
+        Peer client = ask("c1", "once", "900m");
+        net.until("an answer", () -> {
+            executor.stream().filter(each -> each.take().endsWith("body"))
+                .forEach(each -> each.say(said.replace("~", "\r\n")));
+            return client.heard().contains("\r\n\r\n");
+        });
+        assertTrue(client.heard().startsWith("HTTP/1.1 " + status), client.heard());
+        assertEquals(status == 503, client.heard().contains("Retry-After: 1.500\r\n"), client.heard());
+    }
+
+    @Test
+    void aBreakBeforeTheAcceptanceMayHaveRun() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").close();
+        net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
+        assertEquals(1, node.counters.sent, "not sent again");
+    }
+
+    /** A drain told while hops wait for a connection: the route table is asked again at the first byte. */
+    @Test
+    void nothingIsWrittenToATargetThatDrainsMeanwhile() {
+        for (int i = 0; i < 10; i++) {
+            ask("c" + i, "once", "30000m");
+        }
+        net.until("the list's request", () -> discovery.size() == 1
+            && discovery.get(0).heard().endsWith("\r\n\r\n"));
+        net.until("hops on all connections to one target", () -> node.counters.sent == 10
+            && executor.size() == 6 && executor.stream().allMatch(each -> each.heard().endsWith("body")));
+        discovery.get(0).say(answer("200 OK", list(2, row("DRAINING"))));
+        net.until("the drain", () -> !node.engine.routes().serving(0x0badcafeL));
+        executor.forEach(each -> each.say(answer("202 Accepted", "")));
+        net.until("the rest withheld", () -> node.counters.withheld == 4);
+        for (Peer each : executor) {
+            String heard = each.heard();
+            assertEquals(0, heard.lastIndexOf("POST "), "one hop a connection: " + heard);
+        }
+    }
+
+    @Test
+    void theDeadlineEndsASilentHopInTimeAndGivesItUp() {
+        Peer client = ask("c1", "once", "400m");
+        hop(0, "c1").take();
+        executor.get(0).say(answer("202 Accepted", ""));
+        net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
+        net.until("the hop given up", () -> executor.get(0).heard().startsWith("DELETE /jobs/c1 HTTP/1.1"));
+    }
+
+    @Test
+    void aClientThatLeavesIsForgotten() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").take();
+        client.close();
+        net.until("the leaving", () -> node.counters.left == 1);
+        executor.get(0).say(answer("202 Accepted", ""));
+        net.until("the hop given up", () -> executor.get(0).heard().startsWith("DELETE /jobs/c1"));
+        assertEquals(0, node.engine.open());
+    }
+
+    /** A full list removes what it lacks; a silent discovery leaves the node serving. */
+    @Test
+    void discoveryIsWatchedAndMayBeSilent() {
+        Peer client = ask("c1", "safe", "30000m");
+        hop(0, "c1").take();
+        net.until("the first request", () -> discovery.size() == 1
+            && discovery.get(0).heard().startsWith("GET /catalog/members HTTP/1.1"));
+        discovery.get(0).take();
+        discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
+        net.until("the watch", () -> discovery.get(0).heard().startsWith(
+            "GET /catalog/members?after=41&wait_ms="));
+        discovery.get(0).close();
+        net.until("another", () -> discovery.size() == 2 && discovery.get(1).heard().contains("after=41&"));
+        discovery.get(1).say(answer("200 OK", "{\"version\":42,\"full\":false,\"servers\":[]}"));
+        net.until("the next watch", () -> discovery.get(1).heard().contains("after=42&"));
+        executor.get(0).say(answer("202 Accepted", ""));
+        done("c1", "fine");
+        heard(client, "fine");
+        discovery.get(1).say(answer("200 OK", "{\"version\":43,\"full\":true,\"servers\":[]}"));
+        net.until("the row to go", () -> node.engine.routes().size() == 0);
+        assertNull(node.engine.find("c1"));
+    }
+
+    @Test
+    void executorsHaveTheSameNumberOnEveryNode() {
+        assertEquals(0x0badcafeL, Wire.target("s-0badcafe"));
+        assertEquals(0xffffffffL, Wire.target("s-ffffffff"));
+        assertEquals(-1, Wire.target("s-xyz"));
+        assertEquals(-1, Wire.target(null));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "405 | GET /safe HTTP/1.1~~",
+        "404 | POST /unknown HTTP/1.1~Content-Length: 0~~",
+        "404 | POST / HTTP/1.1~Content-Length: 0~~",
+        "405 | POST /_health HTTP/1.1~Content-Length: 0~~",
+        "405 | GET /v1/job-events HTTP/1.1~~",
+        "400 | POST /v1/job-events HTTP/1.1~Content-Length: 3~~{]}",
+        "400 | POST /v1/job-events HTTP/1.1~Content-Length: 2~~{}",
+        "400 | POST /safe HTTP/1.1~X-Correlation-Id: 1~X-Time-Left: 5m~Content-Length: 0~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: odd~X-Correlation-Id: 1~X-Time-Left: 5m~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Time-Left: 5m~Content-Length: 0~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Correlation-Id: 1~Content-Length: 0~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Correlation-Id: 1~X-Time-Left: 5s~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Correlation-Id: 1~X-Time-Left: -5m~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Correlation-Id: 1~X-Time-Left: 1e9m~~",
+        "400 | POST /safe HTTP/1.1~X-Service-Class: safe~X-Correlation-Id: 1~X-Time-Left: m~~",
+        "400 | POST /keyed HTTP/1.1~X-Service-Class: keyed~X-Correlation-Id: 1~X-Time-Left: 5m~~",
+        "413 | POST /safe HTTP/1.1~Content-Length: 70000~~",
+        "400 | what~~"})
+    void badInputIsAnsweredInPlainWords(int status, String input) {
+        Peer client = client().say(input.replace("~", "\r\n"));
+        net.until("an answer", () -> client.heard().endsWith("\n") && client.heard().contains("\r\n\r\n"));
+        assertTrue(client.heard().startsWith("HTTP/1.1 " + status + " "), client.heard());
+        assertEquals(1, node.counters.badInput);
+        assertEquals(0, node.counters.taken);
+    }
+
+    @Test
+    void healthAndCountersAreToldOnRequest() {
+        Peer client = client().say("GET /_health HTTP/1.1\r\n\r\nGET /_counters HTTP/1.1\r\n\r\n");
+        String both = heard(client, "}}\n");
+        assertTrue(both.startsWith("HTTP/1.1 200 OK"), both);
+        assertTrue(both.contains("{\"taken\":0,\"sent\":0,\"answered\":0"), both);
+    }
+
+    /** After SIGTERM what is taken is answered, new work still is for a while, and then it ends. */
+    @Test
+    void aPlannedEndAnswersAllThatWasTaken() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").take();
+        executor.get(0).say(answer("202 Accepted", ""));
+        node.stop(() -> stopped = true);
+        Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
+        net.until("an answer", () -> health.heard().startsWith("HTTP/1.1 503"));
+        Peer late = ask("c2", "once", "30000m");
+        hop(0, "c2");
+        executor.get(0).say(answer("202 Accepted", ""));
+        net.settle(900);
+        assertFalse(stopped, "two jobs are open");
+        done("c1", "one");
+        done("c2", "two");
+        assertTrue(heard(client, "one").contains("Connection: close\r\n"));
+        assertTrue(heard(late, "two").contains("Connection: close\r\n"));
+        net.until("the end", () -> stopped);
+        assertEquals(0, node.engine.open());
+    }
+
+    /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
+    @Test
+    void connectionsAreBoundedOnTheIngressSide() {
+        Peer client = ask("c1", "once", "30000m");
+        hop(0, "c1").say(answer("202 Accepted", ""));
+        List<Peer> idle = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Peer each = client().say("GET /_health HTTP/1.1\r\n\r\n");
+            net.until("an answer", () -> each.heard().startsWith("HTTP/1.1 200"));
+            idle.add(each);
+        }
+        net.until("the oldest to go", () -> idle.get(0).gone);
+        assertFalse(idle.get(59).gone);
+        done("c1", "still here");
+        heard(client, "still here");
+    }
+
+    /** Random steps of clients and executors against the plain rule: one answer to each that stays. */
+    @Property(seed = "808", tries = 25)
+    void eachClientThatStaysGetsOneAnswer(@ForAll long seed) throws Exception {
+        PlatformNodeTest each = new PlatformNodeTest();
+        try {
+            each.randomSteps(new Random(seed));
+        } finally {
+            each.close();
+        }
+    }
+
+    private void randomSteps(Random random) {
+        List<Peer> clients = new ArrayList<>();
+        int left = 0;
+        for (int step = 0; step < 40; step++) {
+            int pick = random.nextInt(6);
+            Peer peer = executor.isEmpty() ? null : executor.get(random.nextInt(executor.size()));
+            String id = "c" + (clients.isEmpty() ? 0 : random.nextInt(clients.size()));
+            if (pick < 2) {
+                clients.add(ask("c" + clients.size(), random.nextBoolean() ? "safe" : "once", "700m"));
+            } else if (pick == 2 && peer != null && !peer.take().isEmpty()) {
+                peer.say(answer(random.nextInt(4) == 0 ? "500 Oops" : "202 Accepted", ""));
+            } else if (pick == 3 && peer != null && random.nextInt(3) == 0) {
+                peer.close();
+            } else if (pick == 4) {
+                done(id, "r");
+            } else if (pick == 5 && !clients.isEmpty() && random.nextInt(4) == 0) {
+                Peer leaver = clients.get(random.nextInt(clients.size()));
+                left += leaver.closed() ? 0 : 1;
+                leaver.close();
+            }
+            net.settle(2);
+        }
+        net.until("all answers", () -> node.engine.open() == 0
+            && clients.stream().allMatch(each -> each.closed() || each.heard().contains("\r\n\r\n")));
+        for (Peer each : clients) {
+            String heard = each.heard();
+            assertEquals(heard.lastIndexOf("HTTP/1.1 "), heard.isEmpty() ? -1 : 0, "one answer: " + heard);
+        }
+        assertEquals(node.counters.taken, node.counters.served + node.counters.shed + node.counters.failed
+            + node.counters.left);
+        assertTrue(node.counters.left <= left);
+        assertEquals(0, node.counters.faults);
+    }
+}
