--- /dev/null
+++ b/src/main/java/beechseam/cli/Import.java
@@ -0,0 +1,39 @@
+package beechseam.cli;
+
+import beechseam.config.ConfigException;
+import beechseam.importer.ImportException;
+import beechseam.importer.Importer;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Takes over the workers of a foreign balancer's file. */
+@Parameters(commandDescription = "Print the workers of an Apache balancer or mod_jk file as a route table")
+final class Import implements Main.Command {
+    @Parameter(description = "FILE", required = true)
+    private String file;
+
+    @Parameter(names = "--form", description = "auto, apache or modjk")
+    private Importer.Form form = Importer.Form.AUTO;
+
+    @Parameter(names = "--zone", description = "The zone of workers whose file names none")
+    private String zone = "-";
+
+    @Override
+    public void run() throws IOException, ConfigException {
+        Importer importer = new Importer();
+        StringWriter list = new StringWriter();
+        try {
+            importer.write(importer.read(Files.readString(Path.of(file)), form, zone), list);
+        } catch (ImportException e) {
+            throw new ConfigException(file, e.getMessage());
+        }
+        importer.warnings().forEach(each -> System.err.println("beechseam: " + each));
+        PrintWriter out = new PrintWriter(System.out, true);
+        out.println(list);
+    }
+}
--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -51,6 +51,7 @@
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("serve", new Serve());
         commands.put("wirehost", new WireHost());
+        commands.put("import", new Import());
         commands.put("check-config", new CheckConfig());
         commands.put("version", new Version());
         Main main = new Main();
--- /dev/null
+++ b/src/test/java/beechseam/config/ConfigTest.java
@@ -0,0 +1,102 @@
+package beechseam.config;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigTest {
+    private static final String GOOD = """
+        {"name":"n3","listen":"127.0.0.1:8081","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+         "limits":{"sockets":1024},
+         "known":{"version":4,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.9:1",
+         "state":"SERVING"}]},"settings":{"Classes":[{"Name":"c","AimNs":5}],"Limits":{"MaxAttempts":3}}}
+        """;
+    private static final String GEARMAN = "{\"functions\":[{\"name\":\"f\",\"effect\":\"safe\"}]}";
+
+    private static Tree tree(String text) throws Exception {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return new Tree("", (Map<?, ?>) Json.parse(bytes, 0, bytes.length));
+    }
+
+    @Test
+    void whatIsThereIsReadAndWhatIsNotHasADefault() throws Exception {
+        NodeConfig c = NodeConfig.of(tree(GOOD));
+        assertEquals("n3", c.name());
+        assertEquals(0x8c1f30d27a5be964L, c.seed());
+        assertEquals(250_000_000L, c.connectTimeoutNs());
+        assertEquals(3, c.options().settings.limits().maxAttempts());
+        assertEquals(1, c.known().servers().size());
+        NodeConfig bare = NodeConfig.of(
+            tree(GOOD.replace("\"limits\"", "\"x\"").replace("\"known\"", "\"y\"")));
+        assertEquals(1024, bare.sockets());
+        assertTrue(bare.known().servers().isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "settings | \"settings\" | \"set\"",
+        "settings | {\"Classes\":[{\"Name\":\"c\",\"AimNs\":5}],\"Limits\":{\"MaxAttempts\":3}} | 7",
+        "listen | \"listen\" | \"lis\"",
+        "listen | 127.0.0.1:8081 | localhost:8081",
+        "listen | 127.0.0.1:8081 | 127.0.0.1:99999",
+        "discovery | 127.0.0.2:8500 | 127.0.0.2",
+        "seed | 8c1f30d27a5be964 | xyz",
+        "limits.sockets | 1024 | 3",
+        "limits.sockets | 1024 | 100.5",
+        "known.servers[0].addr | 127.0.0.9:1 | nowhere",
+        "known.servers[0].state | SERVING | AWAKE",
+        "settings.Classes | [{\"Name\":\"c\",\"AimNs\":5}] | []",
+        "settings.Classes[0].Name | \"Name\":\"c\" | \"N\":1",
+        "settings.Classes[0].AimNs | :5 | :-5",
+        "settings.Limits.MaxAttempts | :3 | :0"})
+    void aFaultNamesItsKey(String key, String from, String to) throws Exception {
+        assertTrue(GOOD.contains(from), from);
+        Tree bad = tree(GOOD.replace(from, to));
+        String message = assertThrows(ConfigException.class, () -> NodeConfig.of(bad)).getMessage();
+        assertTrue(message.startsWith(key + ": "), message);
+    }
+
+    @Test
+    void theEnvironmentComesBeforeTheFile(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("c.json"), GOOD);
+        NodeConfig c = NodeConfig.of(Map.of("PROXY_CONFIG", file.toString(), "PROXY_NAME", "other",
+            "PROXY_LISTEN", "127.0.0.5:9"));
+        assertEquals("other", c.name());
+        assertEquals(9, c.listen().getPort());
+        Path broken = Files.writeString(dir.resolve("b.json"), "{");
+        assertThrows(ConfigException.class, () -> NodeConfig.read(broken.toString()));
+        assertThrows(ConfigException.class, () -> NodeConfig.read(dir.resolve("none").toString()));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "functions | {}",
+        "functions[1].name | {\"functions\":[{\"name\":\"f\"},{\"name\":\"f\"}]}",
+        "functions[0].effect | {\"functions\":[{\"name\":\"f\",\"effect\":\"odd\"}]}",
+        "functions[0].window_ms | {\"functions\":[{\"name\":\"f\",\"effect\":\"keyed\"}]}",
+        "functions[0].deadline_ms | {\"functions\":[{\"name\":\"f\",\"deadline_ms\":0}]}",
+        "workers[0].client_id | {\"functions\":[{\"name\":\"f\"}],\"workers\":[{}]}",
+        "copies | {\"functions\":[{\"name\":\"f\"}],\"copies\":\"yes\"}",
+        "listen | {\"functions\":[{\"name\":\"f\"}],\"listen\":\"x\"}"})
+    void aFaultInTheOperatorsFileNamesItsKey(String key, String text) throws Exception {
+        Tree bad = tree(text);
+        String message = assertThrows(ConfigException.class, () -> GearmanConfig.of(bad)).getMessage();
+        assertTrue(message.startsWith(key + ": "), message);
+    }
+
+    @Test
+    void theOperatorsFileInDeployIsGood() throws Exception {
+        GearmanConfig c = GearmanConfig.read("deploy/gearman.json");
+        assertEquals(4, c.functions().size());
+        assertEquals("malaga", c.place("malaga-1-x").zone());
+        assertEquals("kewdale", c.place("stranger").zone());
+        assertEquals(4730, GearmanConfig.of(tree(GEARMAN)).listen().getPort());
+    }
+}
