Hops given up before their 202 free their connection; watches of discovery are shorter

Seen by reading the egress against the protocol's part on the network: a machine that vanishes keeps its connections open and silent. Handing.giveUp only set a flag, so such a connection stayed busy for good and counted against the pool; a DELETE without an answer did the same. Now the connection is closed at once (the protocol's other way to give up), and whatever stands still for 15 s is broken off. Discovery: a call lost without a word was made again after 11.5 s, half a second before its news counts as told (wait plus 2 s); with a wait of 4 s and 1 s of patience it is made again after 5 s, a second before.

--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -29,8 +29,9 @@
  */
 final class Discovery {
     private static final Logger LOG = System.getLogger(Discovery.class.getName());
-    private static final long WAIT_MS = 10_000;
-    private static final long SILENCE_NS = 1_500_000_000L;
+    /** Short, so that a call lost without a word is made again before its news counts as told. */
+    private static final long WAIT_MS = 4_000;
+    private static final long SILENCE_NS = 1_000_000_000L;
     private static final long RETRY_NS = 100_000_000L;
     private static final long MOST_RETRY_NS = 1_000_000_000L;
 
--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -98,8 +98,11 @@
         close();
     }
 
-    boolean busy() {
-        return now != null;
+    /** A peer that has vanished says nothing: its exchange is broken off. */
+    void sweep(long time, long stallNs) {
+        if (now != null && time - lastActivity() > stallNs) {
+            fail(new IOException("no answer"));
+        }
     }
 
     EgressPool.Target target() {
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -8,8 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Connections to executors, kept alive between exchanges. It sends nothing twice. */
 final class EgressPool {
@@ -22,6 +24,7 @@
         final InetSocketAddress address;
         final ArrayDeque<EgressConnection> idle = new ArrayDeque<>();
         final ArrayDeque<Exchange> queue = new ArrayDeque<>();
+        final Set<EgressConnection> busy = new LinkedHashSet<>();
         int open;
         boolean gone;
 
@@ -34,6 +37,9 @@
 
     final EventLoop loop;
     final long connectTimeoutNs;
+    /** An exchange that has stood still for so long will not be answered: longer than any client waits. */
+    private static final long STALL_NS = 15_000_000_000L;
+
     private final long keepIdleNs;
     private final int mostOpen;
     private final int mostPerTarget;
@@ -77,7 +83,7 @@
         }
     }
 
-    void retain(java.util.Set<Long> named) {
+    void retain(Set<Long> named) {
         for (Long id : List.copyOf(targets.keySet())) {
             if (!named.contains(id)) {
                 remove(id);
@@ -89,6 +95,7 @@
     void send(Target t, Exchange exchange) {
         EgressConnection idle = t.idle.pollFirst();
         if (idle != null) {
+            t.busy.add(idle);
             idle.begin(exchange);
             return;
         }
@@ -106,6 +113,7 @@
         }
         t.open++;
         open++;
+        t.busy.add(fresh);
         fresh.open(exchange);
     }
 
@@ -134,6 +142,7 @@
         if (next != null) {
             c.begin(next);
         } else {
+            t.busy.remove(c);
             t.idle.addFirst(c);
         }
     }
@@ -143,6 +152,7 @@
         t.open--;
         open--;
         t.idle.remove(c);
+        t.busy.remove(c);
         if (!t.queue.isEmpty() && !t.gone) {
             send(t, t.queue.poll());
         }
@@ -157,6 +167,7 @@
             while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > keepIdleNs) {
                 t.idle.peekLast().close();
             }
+            List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
         }
     }
 
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -101,9 +101,6 @@
             int status = answer.status();
             if (status == 202) {
                 accepted = true;
-                if (givenUp) {
-                    delete();
-                }
                 return;
             }
             Slice unprocessed = answer.header("x-unprocessed");
@@ -118,18 +115,20 @@
             engine.ended(hop, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
         }
 
-        /** Under way it is taken back once the 202 is there: sooner, the DELETE might overtake it. */
+        /**
+         * Once taken it is taken back by DELETE. Before the 202 its connection is closed, to the same end: a
+         * machine that has vanished never answers, and its connections would be held for good.
+         */
         void giveUp() {
-            if (!givenUp) {
-                givenUp = true;
-                if (accepted) {
-                    delete();
-                }
+            if (givenUp) {
+                return;
+            }
+            givenUp = true;
+            if (accepted && !target.gone) {
+                pool.send(target, new Delete(target, hop.request.correlation));
+            } else if (connection != null) {
+                connection.abandon();
             }
-        }
-
-        private void delete() {
-            pool.send(target, new Delete(target, hop.request.correlation));
         }
     }
 
