--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -73,8 +73,8 @@
 
     /** Writes now what the peer takes, the rest later. */
     public final void write(ByteBuffer... parts) {
-        if (closed) {
-            return;
+        if (closed || closeWhenWritten) {
+            return; // nothing follows the last answer
         }
         for (ByteBuffer part : parts) {
             if (part.hasRemaining()) {
@@ -92,6 +92,7 @@
         return waitingBytes;
     }
 
+    /** Closes once all that waits is written; whatever is written after this call is dropped. */
     public final void closeWhenWritten() {
         closeWhenWritten = true;
         if (!connecting && waitingBytes == 0) {
--- a/src/test/java/beechseam/net/ConnectionTest.java
+++ b/src/test/java/beechseam/net/ConnectionTest.java
@@ -3,8 +3,14 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import beechseam.Loopback;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
 class ConnectionTest {
@@ -19,6 +25,73 @@
         }
     }
 
+    /** Random steps of both ends against a plain model: bytes in order, one end, nothing after it. */
+    @Property(seed = "77", tries = 60)
+    void bytesComeInOrderAndTheEndOnce(@ForAll long seed) throws IOException {
+        Random random = new Random(seed);
+        try (Loopback net = new Loopback()) {
+            List<Loopback.Peer> far = new ArrayList<>();
+            StringBuilder sent = new StringBuilder();
+            int[] ends = {0, 0}; // told of the loss, counted out
+            Connection near = new Connection(net.loop, null, 64 * 1024) {
+                @Override
+                protected void received(ByteBuffer bytes) {
+                    assertFalse(closed());
+                    int some = Math.min(bytes.remaining(), 1 + random.nextInt(100)); // the rest is kept
+                    bytes.position(bytes.position() + some);
+                }
+
+                @Override
+                protected void lost(IOException why) {
+                    ends[0]++;
+                }
+
+                @Override
+                protected void released() {
+                    ends[1]++;
+                }
+            };
+            boolean closing = false;
+            near.connect(net.standIn(far));
+            for (int step = 0; step < 30; step++) {
+                switch (random.nextInt(8)) {
+                    case 0, 1, 2 -> {
+                        String part = "x".repeat(random.nextInt(3000)) + step;
+                        near.write(ByteBuffer.wrap(part.getBytes(StandardCharsets.ISO_8859_1)));
+                        sent.append(near.closed() || closing ? "" : part);
+                    }
+                    case 3 -> far.forEach(each -> each.say("y".repeat(random.nextInt(9000))));
+                    case 4 -> near.again();
+                    case 5 -> net.settle(1);
+                    case 6 -> {
+                        if (random.nextInt(6) == 0 && !closing) {
+                            closing = true;
+                            near.closeWhenWritten();
+                        }
+                    }
+                    default -> {
+                        if (random.nextInt(12) == 0) {
+                            far.forEach(Connection::close);
+                        }
+                    }
+                }
+            }
+            net.until("the connect", () -> far.size() == 1 || near.closed());
+            if (!closing && !near.closed() && !far.get(0).closed()) {
+                net.until("all bytes", () -> far.get(0).heard().length() == sent.length());
+                assertEquals(sent.toString(), far.get(0).heard());
+            }
+            near.closeWhenWritten();
+            net.until("the end", near::closed);
+            near.close();
+            near.write(ByteBuffer.wrap(new byte[] {1}));
+            net.settle(1);
+            assertEquals(1, ends[1], "counted out once");
+            assertTrue(ends[0] <= 1, "told at most once");
+            assertTrue(far.isEmpty() || sent.toString().startsWith(far.get(0).heard()), "nothing else came");
+        }
+    }
+
     @Test
     void aRefusedConnectIsLostOnce() {
         try (Loopback net = new Loopback()) {
