EngineTest notices an entry into the module while it acts

Seen by mutating nine lines and running their tests: taking out the guard in Engine.tell (if (inside)) left all green; six other real mutations were caught, among them the drain check, the 202 give-up and the LOST outcome; two patterns did not match and proved nothing. Now World.send fails when it is called within another send; with the guard out the test is red, with it green.

--- a/src/test/java/beechseam/core/EngineTest.java
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -40,6 +40,7 @@
         final Engine engine;
         long now = 1_700_000_000L * S;
         boolean failAtOnce;
+        boolean sending;
 
         World(Effect effect) {
             JobClass jobs = new JobClass("c", 400 * MS, 4 * S, 2, 1, 0, effect, Group.CELL, 2 * S, null);
@@ -80,8 +81,11 @@
             assertFalse(hop.request.finished(), "sent after the final answer");
             assertTrue(engine.routes().serving(hop.target), "sent to a target that is not in service");
             assertNull(answers.get(hop.request));
+            assertFalse(sending, "the module was entered while it acts");
             if (failAtOnce) { // the way a refused connect on loopback reports itself
+                sending = true;
                 engine.ended(hop, Outcome.UNREACHABLE, null, null);
+                sending = false;
             } else {
                 hop.begun();
                 out.add(hop);
