A row of discovery's list that makes no sense costs itself, not the whole list

Seen by reading MemberList.of: one row with an unknown state or no address made Discovery.answered throw the whole answer away and ask again, so a single bad row would freeze the route table and let drains go untold. Configuration stays strict. Checked: the odd row in discoveryIsWatchedAndMayBeSilent, with a watch after it as proof that the list was taken; verify green before the test was tightened, the class again after.

--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -130,7 +130,7 @@
             if (!(tree instanceof Map<?, ?> map)) {
                 throw new IOException("not an object");
             }
-            MemberList list = MemberList.of(map);
+            MemberList list = MemberList.of(map, why -> LOG.log(Level.WARNING, "discovery: " + why));
             apply(list, list.full() ? ListForm.FULL : ListForm.CHANGES);
         } catch (IOException e) {
             askAgain("an answer that is no list: " + e.getMessage());
--- a/src/test/java/beechseam/importer/ImporterTest.java
+++ b/src/test/java/beechseam/importer/ImporterTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -79,7 +80,7 @@
         new Importer().write(read(APACHE, new Importer()), twice);
         assertEquals(once.toString(), twice.toString());
         byte[] text = once.toString().getBytes(StandardCharsets.UTF_8);
-        MemberList list = MemberList.of((Map<?, ?>) Json.parse(text, 0, text.length));
+        MemberList list = MemberList.of((Map<?, ?>) Json.parse(text, 0, text.length), Assertions::fail);
         assertTrue(list.full());
         assertEquals(4, list.servers().stream().map(MemberList.Server::id).distinct().count());
         assertEquals(State.DRAINING, list.servers().get(1).state());
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -252,7 +252,12 @@
         executor.get(0).say(answer("202 Accepted", ""));
         done("c1", "fine");
         heard(client, "fine");
-        discovery.get(1).say(answer("200 OK", "{\"version\":43,\"full\":true,\"servers\":[]}"));
+        // A row of no sense costs itself only.
+        discovery.get(1).say(answer("200 OK", "{\"version\":43,\"full\":true,\"servers\":[{\"id\":7},"
+            + row("SERVING") + "]}"));
+        net.until("the watch after it", () -> discovery.get(1).heard().contains("after=43&"));
+        assertTrue(node.engine.routes().serving(0x0badcafeL));
+        discovery.get(1).say(answer("200 OK", "{\"version\":44,\"full\":true,\"servers\":[]}"));
         net.until("the row to go", () -> node.engine.routes().size() == 0);
         assertNull(node.engine.find("c1"));
     }
