SIGHUP reads the configuration again and moves discovery

Ruled out: an ignored SIGHUP (SigIgn holds SIGINT only); a hop written too late (withheld is 0: the route table itself was stale).

At fault: Serve had no handler; NodeConfig let PROXY_DISCOVERY outrank the file for good; Discovery's address was final, and its version was taken to mean the same everywhere. Now SIGHUP is posted to the loop, config reads the file again with the file's discovery first, a bad file is logged by its key and leaves all as it was, and at a new address the whole list is asked for while the route table serves on. limits.sockets counts at once, name, listen and settings from the next start.

--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -9,12 +9,17 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.Map;
+import sun.misc.Signal;
 
 /** Runs a node until SIGTERM. */
 @Parameters(commandDescription = "Run a node; the platform tells it how by PROXY_CONFIG and its companions")
 final class Serve implements Main.Command {
+    private static final Logger LOG = System.getLogger(Serve.class.getName());
+
     @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
     private String config;
 
@@ -31,7 +36,10 @@
         NodeConfig node = platformWanted ? NodeConfig.of(environment) : null;
         GearmanConfig second = gearman == null ? null : GearmanConfig.read(gearman);
         EventLoop loop = new EventLoop();
+        PlatformNode[] reloaded = {null};
+        onHangUp(() -> loop.post(() -> reload(reloaded[0], environment)));
         PlatformNode platform = node == null ? null : new PlatformNode(loop, node);
+        reloaded[0] = platform;
         GearmanServer jobServer = second == null ? null
             : new GearmanServer(loop, second, node == null ? System.nanoTime() : node.seed());
         int[] fronts = {(platform == null ? 0 : 1) + (jobServer == null ? 0 : 1)};
@@ -57,6 +65,28 @@
         System.out.flush();
     }
 
+    /** Else the runtime ends on SIGHUP: operators send it to have the configuration read again. */
+    private static void onHangUp(Runnable reload) {
+        try {
+            Signal.handle(new Signal("HUP"), signal -> reload.run());
+        } catch (IllegalArgumentException e) { // the system has none, or the runtime leaves it alone
+            LOG.log(Level.WARNING, "no reload on SIGHUP: " + e.getMessage());
+        }
+    }
+
+    /** On the loop: a configuration that cannot be used leaves the node as it was. */
+    private static void reload(PlatformNode platform, Map<String, String> environment) {
+        if (platform == null) {
+            LOG.log(Level.WARNING, "reload: the Gearman front reads its file at the start only");
+            return;
+        }
+        try {
+            platform.reload(NodeConfig.reload(environment));
+        } catch (ConfigException e) {
+            LOG.log(Level.ERROR, "reload: the old configuration stays: " + e.getMessage());
+        }
+    }
+
     private static void serve(EventLoop loop, Runnable stop) throws IOException {
         Thread serving = Thread.currentThread();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/beechseam/config/NodeConfig.java
+++ b/src/main/java/beechseam/config/NodeConfig.java
@@ -18,6 +18,18 @@
 
     /** By the environment: the file that PROXY_CONFIG names, and the other variables in its stead. */
     public static NodeConfig of(Map<String, String> environment) throws ConfigException {
+        return of(environment, false);
+    }
+
+    /**
+     * The same again while the node runs. PROXY_DISCOVERY told where discovery was at the start; a file
+     * that is written later and names an address knows better.
+     */
+    public static NodeConfig reload(Map<String, String> environment) throws ConfigException {
+        return of(environment, true);
+    }
+
+    private static NodeConfig of(Map<String, String> environment, boolean again) throws ConfigException {
         Map<Object, Object> values = new HashMap<>();
         String file = environment.get("PROXY_CONFIG");
         if (file != null) {
@@ -25,7 +37,9 @@
         }
         put(values, "name", environment.get("PROXY_NAME"));
         put(values, "listen", environment.get("PROXY_LISTEN"));
-        put(values, "discovery", environment.get("PROXY_DISCOVERY"));
+        if (!again || values.get("discovery") == null) {
+            put(values, "discovery", environment.get("PROXY_DISCOVERY"));
+        }
         return of(new Tree("", values));
     }
 
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -25,7 +25,7 @@
 
 /**
  * Keeps the route table up to date: the whole list once, then one watch after the other without a gap. While
- * discovery is silent the node serves by what it holds, and asks again.
+ * discovery is silent the node serves by what it holds, and asks again. The address may change meanwhile.
  */
 final class Discovery {
     private static final Logger LOG = System.getLogger(Discovery.class.getName());
@@ -36,8 +36,6 @@
     private static final long MOST_RETRY_NS = 1_000_000_000L;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
-    private final String host;
     private final Engine engine;
     private final EgressPool pool;
     private final Timer silence = new Timer() {
@@ -52,8 +50,12 @@
             ask();
         }
     };
+    private InetSocketAddress address;
+    private String host;
     private Line line;
     private boolean held;
+    /** The whole list has come from this address: only then do its versions and ours mean the same. */
+    private boolean whole;
     private boolean stopped;
     private long version;
     private long retryNs = RETRY_NS;
@@ -79,12 +81,34 @@
         return held;
     }
 
+    /**
+     * Discovery is elsewhere from now on. The route table stays as it is until the whole list has come from
+     * there: another address may count its versions otherwise, and what its list lacks must go.
+     */
+    void move(InetSocketAddress to, String toHost) {
+        if (stopped || to.equals(address)) {
+            return;
+        }
+        LOG.log(Level.INFO, "discovery: moves from " + host + " to " + toHost);
+        hangUp();
+        address = to;
+        host = toHost;
+        whole = false;
+        retryNs = RETRY_NS;
+        ask();
+    }
+
     void stop() {
         stopped = true;
+        hangUp();
+    }
+
+    private void hangUp() {
         loop.timers.cancel(silence);
         loop.timers.cancel(retry);
         if (line != null) {
             line.close();
+            line = null;
         }
     }
 
@@ -110,11 +134,7 @@
             return;
         }
         LOG.log(Level.INFO, "discovery: " + why + "; asking again");
-        loop.timers.cancel(silence);
-        if (line != null) {
-            line.close();
-            line = null;
-        }
+        hangUp();
         loop.timers.set(retry, loop.now() + retryNs);
         retryNs = Math.min(MOST_RETRY_NS, 2 * retryNs);
     }
@@ -137,6 +157,7 @@
             return;
         }
         held = true;
+        whole = true;
         retryNs = RETRY_NS;
         ask();
     }
@@ -177,9 +198,9 @@
         }
 
         void ask() {
-            String target = held ? "/catalog/members?after=" + version + "&wait_ms=" + WAIT_MS
+            String target = whole ? "/catalog/members?after=" + version + "&wait_ms=" + WAIT_MS
                 : "/catalog/members";
-            loop.timers.set(silence, loop.now() + SILENCE_NS + (held ? WAIT_MS * 1_000_000L : 0));
+            loop.timers.set(silence, loop.now() + SILENCE_NS + (whole ? WAIT_MS * 1_000_000L : 0));
             write(HttpWriter.request("GET", target, host, "", Wire.NOTHING));
         }
 
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -41,18 +41,22 @@
     private static final long STALL_NS = 15_000_000_000L;
 
     private final long keepIdleNs;
-    private final int mostOpen;
-    private final int mostPerTarget;
+    private int mostOpen;
+    private int mostPerTarget;
     private final Map<Long, Target> targets = new HashMap<>();
     private int open;
 
     /** The executor's side closes what stands idle for {@code idleCloseNs}: this side does so well before. */
-    EgressPool(EventLoop loop, long connectTimeoutNs, long idleCloseNs, int mostOpen, int mostPerTarget) {
+    EgressPool(EventLoop loop, long connectTimeoutNs, long idleCloseNs) {
         this.loop = loop;
         this.connectTimeoutNs = connectTimeoutNs;
         this.keepIdleNs = idleCloseNs > 0 ? idleCloseNs / 2 : 30_000_000_000L;
-        this.mostOpen = mostOpen;
-        this.mostPerTarget = mostPerTarget;
+    }
+
+    /** How many connections there may be. A lower bound is come down to as exchanges end. */
+    void bound(int most, int mostToOne) {
+        mostOpen = most;
+        mostPerTarget = mostToOne;
     }
 
     Target target(long id) {
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -38,7 +38,8 @@
     private final Discovery discovery;
     private final Listener listener;
     private final Set<IngressConnection> ingress = new LinkedHashSet<>();
-    private final int mostIngress;
+    private NodeConfig config;
+    private int mostIngress;
     private final Timer sweep = new Timer() {
         @Override
         protected void fire() {
@@ -57,12 +58,10 @@
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
         this.loop = loop;
+        this.config = config;
         options = config.options();
-        int sockets = Math.max(16, config.sockets() - SPARE_SOCKETS);
-        int mostEgress = sockets * 3 / 8;
-        mostIngress = sockets - mostEgress - 1;
-        pool = new EgressPool(loop, config.connectTimeoutNs(), options.settings.limits().idleCloseNs(),
-            mostEgress, Math.max(4, mostEgress / 4));
+        pool = new EgressPool(loop, config.connectTimeoutNs(), options.settings.limits().idleCloseNs());
+        share(config.sockets());
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
@@ -74,6 +73,31 @@
         LOG.log(Level.INFO, config.name() + " listens on " + listener.address());
     }
 
+    /** Deals out the descriptors that the configuration grants. */
+    private void share(int granted) {
+        int sockets = Math.max(16, granted - SPARE_SOCKETS);
+        int mostEgress = sockets * 3 / 8;
+        mostIngress = sockets - mostEgress - 1;
+        pool.bound(mostEgress, Math.max(4, mostEgress / 4));
+    }
+
+    /**
+     * A new configuration, already checked. Discovery's address and the bound on descriptors change at once,
+     * also while the node stops, since drains go on being told. The module and the listener live as long as
+     * the process does: what they were built from counts at the next start.
+     */
+    public void reload(NodeConfig next) {
+        discovery.move(next.discovery(), next.discoveryHost());
+        share(next.sockets());
+        if (!next.listen().equals(config.listen()) || !next.name().equals(config.name())
+            || !next.options().settings.equals(config.options().settings)
+            || next.connectTimeoutNs() != config.connectTimeoutNs()) {
+            LOG.log(Level.WARNING, "reload: a new name, listen or settings counts from the next start");
+        }
+        config = next;
+        LOG.log(Level.INFO, "reload: done");
+    }
+
     public InetSocketAddress address() throws IOException {
         return listener.address();
     }
--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -67,6 +67,14 @@
                 }
                 return admin[0].heard().startsWith("OK ");
             });
+            // SIGHUP asks for a reload; without its handler the runtime would end here.
+            String pid = Long.toString(serving.pid());
+            assertEquals(0, new ProcessBuilder("kill", "-HUP", pid).start().waitFor());
+            admin[0].take();
+            admin[0].say("version\n");
+            net.until("an answer after SIGHUP", () -> admin[0].heard().startsWith("OK "));
+            Loopback.Peer later = net.dial(new InetSocketAddress("127.0.0.1", port)).say("version\n");
+            net.until("a later answer", () -> later.heard().startsWith("OK "));
             serving.toHandle().destroy(); // SIGTERM, and the output stays open
             String out = new String(serving.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(serving.waitFor(60, TimeUnit.SECONDS));
--- a/src/test/java/beechseam/config/ConfigTest.java
+++ b/src/test/java/beechseam/config/ConfigTest.java
@@ -75,6 +75,19 @@
         assertThrows(ConfigException.class, () -> NodeConfig.read(dir.resolve("none").toString()));
     }
 
+    /** PROXY_DISCOVERY is from before the start: on a reload the file, written since, knows better. */
+    @Test
+    void onAReloadTheFileNamesDiscovery(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("c.json"), GOOD);
+        Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_NAME", "other",
+            "PROXY_DISCOVERY", "127.0.0.7:1");
+        assertEquals("127.0.0.7:1", NodeConfig.of(environment).discoveryHost());
+        assertEquals("127.0.0.2:8500", NodeConfig.reload(environment).discoveryHost());
+        assertEquals("other", NodeConfig.reload(environment).name());
+        Files.writeString(file, GOOD.replace("\"discovery\"", "\"elsewhere\""));
+        assertEquals("127.0.0.7:1", NodeConfig.reload(environment).discoveryHost());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "functions | {}",
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -47,11 +47,14 @@
     private boolean stopped;
 
     PlatformNodeTest() throws IOException, ConfigException {
+        node = new PlatformNode(net.loop, config(net.standIn(discovery)));
+    }
+
+    private NodeConfig config(InetSocketAddress discoveryAt) throws IOException, ConfigException {
         byte[] text = ("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-            + net.standIn(discovery).getPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":128},\"known\":"
+            + discoveryAt.getPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":128},\"known\":"
             + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
-        node = new PlatformNode(net.loop,
-            NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length))));
+        return NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length)));
     }
 
     @AfterEach
@@ -262,6 +265,33 @@
         assertNull(node.engine.find("c1"));
     }
 
+    /** Versions are counted otherwise there: first a whole list, and till it comes the old table serves. */
+    @Test
+    void discoveryMovesWithoutLosingTheRouteTable() throws Exception {
+        Peer client = ask("c1", "safe", "30000m");
+        hop(0, "c1").say(answer("202 Accepted", ""));
+        net.until("the first request", () -> discovery.size() == 1 && !discovery.get(0).heard().isEmpty());
+        discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
+        net.until("the watch", () -> discovery.get(0).heard().contains("after=41&"));
+        List<Peer> moved = new ArrayList<>();
+        NodeConfig next = config(net.standIn(moved));
+        node.reload(next);
+        net.until("the old line's end", () -> discovery.get(0).gone);
+        net.until("a request there", () -> moved.size() == 1 && moved.get(0).heard().endsWith("\r\n\r\n"));
+        assertTrue(moved.get(0).take().startsWith("GET /catalog/members HTTP/1.1\r\n"));
+        assertTrue(node.engine.routes().serving(0x0badcafeL));
+        node.reload(next); // again, to where it is already: the request under way goes on
+        moved.get(0).close(); // the whole list is owed still
+        net.until("another request", () -> moved.size() == 2 && moved.get(1).heard().endsWith("\r\n\r\n"));
+        assertTrue(moved.get(1).take().startsWith("GET /catalog/members HTTP/1.1\r\n"));
+        moved.get(1).say(answer("200 OK", list(3, "")));
+        net.until("the watch there", () -> moved.get(1).heard().contains("after=3&"));
+        assertFalse(node.engine.routes().serving(0x0badcafeL));
+        assertEquals(1, discovery.size());
+        done("c1", "kept");
+        assertTrue(heard(client, "kept").startsWith("HTTP/1.1 200"));
+    }
+
     @Test
     void executorsHaveTheSameNumberOnEveryNode() {
         assertEquals(0x0badcafeL, Wire.target("s-0badcafe"));
