After SIGTERM connected clients are served until shortly before SIGKILL

The logs date it: n1 ends 0.7 s after SIGTERM and is back 4.8 s later; n0 gets its SIGTERM meanwhile, answers all with Connection: close at once and closes what stands idle after 0.7 s, so that for two seconds no node has a connection.

At fault: PlatformNode.LINGER_NS and stopping(), which sent clients away at once though the platform gives 3.7 s. Now clients that are connected are served as before until 2.4 s after SIGTERM, and what is taken from SIGTERM on is answered within 3.4 s (Engine.lastAnswer), 0.3 s before the earliest SIGKILL. The module is not told of the shorter time: to it that would mean a retry.

Still open: the restarted node refuses a third.

--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -37,6 +37,7 @@
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
     private boolean inside;
     private long lastId;
+    private long lastAnswerAt = Long.MAX_VALUE;
 
     public Engine(Settings settings, long seed, LongSupplier clock, Timers timers, Egress egress,
                   Counters counters) {
@@ -102,18 +103,28 @@
         byId.put(r.id, r);
         byCorrelation.put(correlation, r);
         counters.taken++;
+        // With little time in hand half of it is kept for the answer's way.
+        long due = r.deadlineAt - Math.min(ANSWER_MARGIN_NS, budgetNs / 2);
+        boolean cut = lastAnswerAt < due;
         r.deadline = new Timer() {
             @Override
             protected void fire() {
-                tell(() -> expire(r));
+                tell(() -> expire(r, cut));
             }
         };
-        // With little time in hand half of it is kept for the answer's way.
-        timers.set(r.deadline, r.deadlineAt - Math.min(ANSWER_MARGIN_NS, budgetNs / 2));
+        timers.set(r.deadline, Math.min(due, lastAnswerAt));
         tell(() -> module.job(now(), new Job(r.id, jobClass, budgetNs, 0, slots, memory)));
         return r;
     }
 
+    /**
+     * The process ends: whatever is taken from now on is answered by then, whatever time its client gives.
+     * The module is not told, since to it a short budget means a client's retry.
+     */
+    public void lastAnswer(long at) {
+        lastAnswerAt = at;
+    }
+
     /** The client has gone: nobody waits for an answer. */
     public void left(Request r) {
         tell(() -> {
@@ -126,9 +137,9 @@
         });
     }
 
-    private void expire(Request r) {
+    private void expire(Request r, boolean cut) {
         for (Hop hop : List.copyOf(r.hops)) {
-            if (!hop.over) {
+            if (!hop.over && !cut) { // told of a cut hop's end the module would send another
                 egress.cancel(hop);
                 end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
@@ -136,7 +147,7 @@
         if (!r.finished) { // the module would still wait, but the client does not
             counters.failed++;
             finish(r);
-            r.ingress.failed(r, "no answer in time");
+            r.ingress.failed(r, cut ? "the node is stopping" : "no answer in time");
             module.left(now(), r.id);
             forget(r);
         }
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -147,7 +147,7 @@
 
     @Override
     protected boolean stopping() {
-        return node.stopping();
+        return node.leaving();
     }
 
     @Override
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -1,5 +1,6 @@
 package beechseam.platform;
 
+import beechseam.Dispatching.JobClass;
 import beechseam.config.ModuleOptions;
 import beechseam.config.NodeConfig;
 import beechseam.core.Counters;
@@ -22,8 +23,15 @@
     private static final long SWEEP_NS = 1_000_000_000L;
     private static final long STALL_NS = 10_000_000_000L;
     private static final long IDLE_NS = 120_000_000_000L;
-    /** After SIGTERM clients still come for a while; then connections that stand idle are closed. */
-    private static final long LINGER_NS = 700_000_000L;
+    /**
+     * The platform kills a node so long after SIGTERM and the longest deadline, which counts as
+     * {@link #MOST_COUNTED_NS} at most. The last answers leave {@link #KILL_MARGIN_NS} before, and clients
+     * are sent away {@link #LAST_REQUEST_NS} before these.
+     */
+    private static final long KILL_NS = 700_000_000L;
+    private static final long MOST_COUNTED_NS = 3_000_000_000L;
+    private static final long KILL_MARGIN_NS = 300_000_000L;
+    private static final long LAST_REQUEST_NS = 1_000_000_000L;
     private static final long QUIET_NS = 200_000_000L;
     private static final long DRAIN_CHECK_NS = 20_000_000L;
     /** Descriptors kept back for the selector, files of the runtime, and the odd accept. */
@@ -54,7 +62,7 @@
     };
     private boolean stopping;
     private Runnable stopped;
-    private long stoppingSince;
+    private long leavesAt = Long.MAX_VALUE;
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
         this.loop = loop;
@@ -135,8 +143,9 @@
         return !stopping && (engine.routes().size() > 0 || discovery.held());
     }
 
-    boolean stopping() {
-        return stopping;
+    /** Whether clients are sent away: not yet at SIGTERM, for the other nodes may be restarting as well. */
+    boolean leaving() {
+        return loop.now() >= leavesAt;
     }
 
     private void sweep() {
@@ -148,12 +157,19 @@
         loop.timers.set(sweep, now + SWEEP_NS);
     }
 
-    /** A planned end: everything taken is answered, then it calls back. */
+    /**
+     * A planned end. New clients stop coming, but those connected go on asking: they are served as ever until
+     * shortly before the platform's patience ends, then sent away. All taken is answered, then it calls back.
+     */
     public void stop(Runnable done) {
         if (!stopping) {
             stopping = true;
             stopped = done;
-            stoppingSince = loop.now();
+            long longest = options.settings.classes().stream().mapToLong(JobClass::deadlineNs).max()
+                .orElse(0);
+            long last = KILL_NS + Math.min(MOST_COUNTED_NS, longest) - KILL_MARGIN_NS;
+            engine.lastAnswer(loop.now() + last);
+            leavesAt = loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             drained();
         }
@@ -161,14 +177,13 @@
 
     private void drained() {
         long now = loop.now();
-        boolean lingered = now - stoppingSince > LINGER_NS;
-        if (lingered) {
+        if (leaving()) {
             // One just accepted looks idle until its first bytes are read: a call-back may be on its way.
             List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS)
                 .forEach(IngressConnection::close);
         }
         // The listener stays to the last: call-backs come to it.
-        if (lingered && engine.open() == 0 && ingress.isEmpty()) {
+        if (leaving() && engine.open() == 0 && ingress.isEmpty()) {
             listener.close();
             discovery.stop();
             pool.close();
--- a/src/test/java/beechseam/core/EngineTest.java
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -205,4 +205,22 @@
         assertEquals("served ok", w.answers.get(r));
         assertNotNull(w.take("a"), "it is free again");
     }
+
+    /** Before the process ends: SIGKILL must find nothing unanswered, and nothing is sent for no one. */
+    @Test
+    void theLastAnswersLeaveInTimeWhateverTheirClientsGive() {
+        World w = new World(Effect.SAFE);
+        Request before = w.take("before");
+        w.engine.lastAnswer(w.now + S);
+        Request after = w.take("after");
+        w.pass(S - MS);
+        long sent = w.counters.sent;
+        w.pass(2 * MS);
+        assertTrue(after.finished());
+        assertFalse(before.finished(), "taken before: its own deadline holds");
+        assertEquals(sent, w.counters.sent, "what is cut is not sent again");
+        w.pass(4 * S);
+        assertTrue(before.finished());
+        assertEquals(0, w.engine.open());
+    }
 }
