A report of others' load counts for one full slot at most

Ruled out by the trace: late starts, doubt, cold budgets, the wait error.

At fault: report() moves othersMean by a fiftieth of others/slots, without bound, and all loads fade towards that mean. A queue of 10 on 2 slots at one worker lifts it past the threshold of all; then nothing is sent, few reports come, and they move it by a fiftieth each. A share of one slot is now the most that a report may say, so the fade ends below the threshold.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -273,7 +273,9 @@
         }
         m.others = Math.max(0, nrl - before); // the paper's dampening d is 0: reports are late, not jumpy
         m.ownAtReport = before;
-        othersMean += 0.02 * (m.others / m.slots - othersMean);
+        // Full is as much as one report may say of all the others: a long queue at one worker, told again and
+        // again, has shut a dispatcher that then sent nothing and so was told nothing better.
+        othersMean += 0.02 * (Math.min(1, m.others / m.slots) - othersMean);
     }
 
     private static double or(double value, double otherwise) {
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -510,6 +510,18 @@
         assertNotEquals(0, rig.job(101), "open again");
     }
 
+    /** Long queues told once shut a dispatcher: it sent nothing more, and so was told nothing better. */
+    @Test
+    void longQueuesToldOnceDoNotShutADispatcherForGood() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(4);
+        for (int i = 1; i <= 60; i++) {
+            rig.job(i);
+            rig.run(i, S / 10, Rig.load(40, 36, 0));
+            rig.now += 20 * S;
+        }
+        assertNotEquals(0, rig.job(100), "what was told is old: the worker may be tried");
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
