A late start raises the wait error to its class's slack at most

Trace: 50 jobs in its first quarter of a second, started late while the runtime is cold; the wait error stands at 340 to 525 ms and the share of late starts at 0.5 to 0.8, though all workers are idle (raw 0 to 1).

Ruled out: mean of others' load (0.0 to 0.2), doubt, cold workers (none).

At fault: started() lets the wait error follow any lateness, a twentieth of the slack a start, up and down. Past the slack it shuts the class no better, but each step up costs a timely start to take back, and hardly any come.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -706,7 +706,9 @@
         // The median wait beyond what reports made expect (others send, too), and how many start too late.
         double error = now - a.sentAt - startLagNs - a.expectedWaitNs;
         double step = Math.signum(error - waitErrorNs) * a.job.stats.slackNs() * 0.05;
-        waitErrorNs = Math.max(0, waitErrorNs + step);
+        // More than the slack shuts no better, and it would take as many more timely starts to open.
+        waitErrorNs = step < 0 ? Math.max(0, waitErrorNs + step)
+            : Math.max(waitErrorNs, Math.min(waitErrorNs + step, a.job.stats.slackNs()));
         lateAt = now;
         // Late by a wait that the reports hid, not because it was sent with no time in hand.
         boolean late = now > a.job.latestStart
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -510,6 +510,27 @@
         assertNotEquals(0, rig.job(101), "open again");
     }
 
+    /** After a long spell of late starts a node that restarted took as many timely ones to open again. */
+    @Test
+    void aLongSpellOfLateStartsIsTakenBackAsSoonAsAShortOne() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(40);
+        for (int i = 1; i <= 400; i++) {
+            rig.job(i);
+            rig.now += 7 * S / 2;
+            rig.module.started(rig.now, i, 0);
+            rig.end(i, 0, Outcome.SERVED, Rig.load(0, 0, 4));
+            rig.now += 20 * S;
+        }
+        for (int i = 401; i <= 425; i++) {
+            assertNotEquals(0, rig.job(i));
+            rig.run(i, S / 10, Rig.load(0, 0, 4));
+            rig.now += 20 * S;
+        }
+        rig.job(500);
+        rig.module.started(rig.now, 500, 0);
+        assertNotEquals(0, rig.job(501), "starts are timely again");
+    }
+
     /** Long queues told once shut a dispatcher: it sent nothing more, and so was told nothing better. */
     @Test
     void longQueuesToldOnceDoNotShutADispatcherForGood() {
