SIGTERM is handled on the loop, so that a stopping node goes on logging

Seen: no line of log after SIGTERM, not even "stopping with": the runtime ends logging in a shutdown hook that runs beside ours. At fault: Serve did the whole drain in a shutdown hook. SIGTERM and SIGINT are posted to the loop now, like SIGHUP, and the process ends with status 0.

--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -37,7 +37,7 @@
         GearmanConfig second = gearman == null ? null : GearmanConfig.read(gearman);
         EventLoop loop = new EventLoop();
         PlatformNode[] reloaded = {null};
-        onHangUp(() -> loop.post(() -> reload(reloaded[0], environment)));
+        on("HUP", () -> loop.post(() -> reload(reloaded[0], environment)));
         PlatformNode platform = node == null ? null : new PlatformNode(loop, node);
         reloaded[0] = platform;
         GearmanServer jobServer = second == null ? null
@@ -48,14 +48,17 @@
                 loop.stop();
             }
         };
-        serve(loop, () -> {
+        Runnable stop = () -> {
             if (platform != null) {
                 platform.stop(stopped);
             }
             if (jobServer != null) {
                 jobServer.stop(stopped);
             }
-        });
+        };
+        on("TERM", () -> loop.post(stop));
+        on("INT", () -> loop.post(stop));
+        loop.run();
         if (platform != null) {
             System.out.println(platform.counters());
         }
@@ -65,12 +68,15 @@
         System.out.flush();
     }
 
-    /** Else the runtime ends on SIGHUP: operators send it to have the configuration read again. */
-    private static void onHangUp(Runnable reload) {
+    /**
+     * Left alone the runtime ends on these signals. On SIGHUP operators want the configuration read again; on
+     * SIGTERM its shutdown hooks would run beside the loop, and the one that ends all logging at once.
+     */
+    private static void on(String signal, Runnable action) {
         try {
-            Signal.handle(new Signal("HUP"), signal -> reload.run());
+            Signal.handle(new Signal(signal), received -> action.run());
         } catch (IllegalArgumentException e) { // the system has none, or the runtime leaves it alone
-            LOG.log(Level.WARNING, "no reload on SIGHUP: " + e.getMessage());
+            LOG.log(Level.WARNING, "SIG" + signal + " is not handled: " + e.getMessage());
         }
     }
 
@@ -86,17 +92,4 @@
             LOG.log(Level.ERROR, "reload: the old configuration stays: " + e.getMessage());
         }
     }
-
-    private static void serve(EventLoop loop, Runnable stop) throws IOException {
-        Thread serving = Thread.currentThread();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            loop.post(stop);
-            try {
-                serving.join();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "stop"));
-        loop.run();
-    }
 }
