Connections that stand as long as one that broke are not used again

Trace: 342 breaks, all after 100 ms or more of standing idle, none below; half of the uses past that break. Ruled out: the settings' idle time (60 s, half of it was kept), connections new or in steady use.

At fault: EgressPool kept idle connections by the settings alone. Now a break at the first request after a pause of 50 ms or more bounds the pause for that target to three quarters of it; connections that stood longer are closed in favour of new ones, and after 30 s without a break the bound is doubled.

--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -20,6 +20,8 @@
     };
     private Exchange now;
     private boolean begun;
+    /** How long it had stood idle before the exchange under way; 0 for its first. */
+    private long stoodIdleNs;
 
     EgressConnection(EgressPool pool, EgressPool.Target target) throws IOException {
         super(pool.loop, null, HttpParser.MAX_MESSAGE);
@@ -37,6 +39,7 @@
     /** Begins an exchange on the idle connection. */
     void begin(Exchange next) {
         now = next;
+        stoodIdleNs = loop.now() - lastActivity();
         start();
     }
 
@@ -115,6 +118,9 @@
             Exchange broken = now;
             now = null;
             broken.connection = null;
+            if (begun && stoodIdleNs > 0) {
+                pool.wentStale(target, stoodIdleNs);
+            }
             // Before its last byte has gone nothing can have run; after that it may have.
             broken.broken(!begun || unwritten() > 0);
         }
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -27,11 +27,15 @@
         final Set<EgressConnection> busy = new LinkedHashSet<>();
         int open;
         boolean gone;
+        /** How long a connection to it may stand idle and still be used. */
+        long keepIdleNs;
+        long staleAt;
 
-        Target(long id, String host, InetSocketAddress address) {
+        Target(long id, String host, InetSocketAddress address, long keepIdleNs) {
             this.id = id;
             this.host = host;
             this.address = address;
+            this.keepIdleNs = keepIdleNs;
         }
     }
 
@@ -40,6 +44,11 @@
     /** An exchange that has stood still for so long will not be answered: longer than any client waits. */
     private static final long STALL_NS = 15_000_000_000L;
 
+    /** Something on the way may forget idle connections sooner than told; but none is renewed at each use. */
+    private static final long LEAST_KEPT_NS = 50_000_000L;
+    /** So long after the last break a longer pause is tried again. */
+    private static final long STALE_NS = 30_000_000_000L;
+
     private final long keepIdleNs;
     private int mostOpen;
     private int mostPerTarget;
@@ -68,7 +77,7 @@
         Target known = targets.get(id);
         if (known == null || !known.address.equals(address)) {
             remove(id);
-            targets.put(id, new Target(id, host, address));
+            targets.put(id, new Target(id, host, address, keepIdleNs));
         }
     }
 
@@ -98,6 +107,11 @@
     /** Sends it on an idle connection, a new one, or when one frees. */
     void send(Target t, Exchange exchange) {
         EgressConnection idle = t.idle.pollFirst();
+        if (idle != null && loop.now() - idle.lastActivity() > t.keepIdleNs) {
+            idle.close();
+            List.copyOf(t.idle).forEach(EgressConnection::close); // they have stood longer still
+            idle = null;
+        }
         if (idle != null) {
             t.busy.add(idle);
             idle.begin(exchange);
@@ -151,6 +165,17 @@
         }
     }
 
+    /**
+     * A connection that had stood idle broke at its next request, which may have run for all that is known:
+     * those that stand so long are not used again, but closed in favour of new ones.
+     */
+    void wentStale(Target t, long stoodIdleNs) {
+        if (stoodIdleNs >= LEAST_KEPT_NS) {
+            t.keepIdleNs = Math.max(LEAST_KEPT_NS, Math.min(t.keepIdleNs, stoodIdleNs * 3 / 4));
+            t.staleAt = loop.now();
+        }
+    }
+
     void released(EgressConnection c) {
         Target t = c.target();
         t.open--;
@@ -168,7 +193,11 @@
 
     void sweep(long now) {
         for (Target t : targets.values()) {
-            while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > keepIdleNs) {
+            if (t.keepIdleNs < keepIdleNs && now - t.staleAt > STALE_NS) {
+                t.keepIdleNs = Math.min(keepIdleNs, 2 * t.keepIdleNs);
+                t.staleAt = now;
+            }
+            while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > t.keepIdleNs) {
                 t.idle.peekLast().close();
             }
             List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -237,6 +237,32 @@
         hop(1, "c2");
     }
 
+    /** Something that forgets idle connections answers the next request by a reset, which may have run. */
+    @Test
+    void aConnectionThatStandsAsLongAsOneThatBrokeIsNotUsedAgain() {
+        for (int i = 0; i < 2; i++) { // the second is the kept one, and breaks at its next request
+            Peer client = ask("c" + i, "once", "30000m");
+            hop(0, "c" + i);
+            executor.get(0).take();
+            if (i == 0) {
+                executor.get(0).say(answer("202 Accepted", ""));
+                done("c0", "r");
+                heard(client, "r");
+                net.settle(150);
+            } else {
+                executor.get(0).close();
+                net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
+            }
+        }
+        Peer client = ask("c2", "once", "30000m");
+        hop(1, "c2").say(answer("202 Accepted", ""));
+        done("c2", "r");
+        heard(client, "r");
+        net.settle(150);
+        ask("c3", "once", "30000m");
+        hop(2, "c3");
+    }
+
     /** A full list removes what it lacks; a silent discovery leaves the node serving. */
     @Test
     void discoveryIsWatchedAndMayBeSilent() {
