The node's classes come from a shared archive that the build makes

Ruled out: the module's start (no list to wait for), the wait for discovery (ready by the list held), clients held off by /_health.

At fault: 1,700 classes and lambdas loaded one by one. deploy/classes.lst is what a node in service loaded (-XX:DumpLoadedClassList); the build dumps the archive from it, run names it. A missing or old archive only costs the time again.

--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -44,6 +44,22 @@
         assertTrue(said(2, "import", bad.toString()).contains("neither"));
     }
 
+    /** The build makes the archive of classes by this list; what it names in vain is loaded slowly again. */
+    @Test
+    void theListOfClassesToArchiveNamesOurClassesAsTheyAre() throws Exception {
+        int ours = 0;
+        for (String line : Files.readAllLines(Path.of("deploy", "classes.lst"))) {
+            if (line.startsWith("beechseam/")) {
+                Class.forName(line.replace('/', '.'), false, MainTest.class.getClassLoader());
+                ours++;
+            }
+        }
+        assertTrue(ours > 50, "the node's own classes: " + ours);
+        String deploy = Files.readString(Path.of("deploy", "balancer.toml"));
+        assertEquals(2, deploy.split("SharedArchiveFile=target/beechseam.jsa",
+            -1).length - 1, "the build writes what the run reads");
+    }
+
     /** The whole program as it is started: it serves until SIGTERM, then prints its counters. */
     @Test
     void serveRunsUntilItIsToldToStop(@TempDir Path dir) throws Exception {
