A short budget means a retry only where retries are not marked

At fault: Dispatcher.job() took each budget below the longest for a client's retry and let its aim begin that much earlier. The settings say MarksRetry, and the retry's header (X-Repeat; Retry on the simulator's wire) was read nowhere. Job now tells a first try, the fronts that know it say so, and only others are inferred.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -602,9 +602,10 @@
         h.need = Math.max(job.slots(), job.memory());
         h.takenAt = now;
         h.leavesAt = now + job.budgetNs();
-        // A retry shows by its shorter budget: the aim runs from the client's first try.
+        // The aim runs from the client's first try. Where retries are not marked, a shorter budget shows one;
+        // where they are, it shows a client in haste: taken for a retry its job would be late at once.
         h.stats.longestBudgetNs = Math.max(h.stats.longestBudgetNs, job.budgetNs());
-        double elapsed = h.stats.longestBudgetNs - job.budgetNs();
+        double elapsed = job.firstTry() ? 0 : h.stats.longestBudgetNs - job.budgetNs();
         h.workNs = Math.exp(h.stats.expectedLog(job));
         double aim = Math.min(h.of.aimNs() + h.of.stretch() * h.workNs - elapsed, job.budgetNs());
         h.aimAt = now + (long) aim;
--- a/src/main/java/beechseam/Dispatching.java
+++ b/src/main/java/beechseam/Dispatching.java
@@ -68,8 +68,15 @@
                            boolean worthByWork) {
     }
 
-    /** A job; {@code budgetNs} is what the client still waits, {@code workNs} a rough hint or 0. */
-    public record Job(long id, int jobClass, long budgetNs, long workNs, double slots, double memory) {
+    /**
+     * A job; {@code budgetNs} is what the client still waits, {@code workNs} a rough hint or 0. Of a first
+     * try it is known that it is none of a client's retries, for which the aim began earlier.
+     */
+    public record Job(long id, int jobClass, long budgetNs, long workNs, double slots, double memory,
+                      boolean firstTry) {
+        public Job(long id, int jobClass, long budgetNs, long workNs, double slots, double memory) {
+            this(id, jobClass, budgetNs, workNs, slots, memory, false);
+        }
     }
 
     /** A line of the list; {@code bornNs} is the latest start, 0 when long past. */
--- a/src/main/java/beechseam/config/ModuleOptions.java
+++ b/src/main/java/beechseam/config/ModuleOptions.java
@@ -18,6 +18,8 @@
 /** The settings object put into the module's terms, and the order in which load reports list their values. */
 public final class ModuleOptions {
     public final Settings settings;
+    /** Whether a client marks its retries, so that what is not marked is a first try. */
+    public final boolean marksRetries;
     private final Map<String, Integer> classes = new HashMap<>();
     private final int held;
     private final int waiting;
@@ -27,8 +29,9 @@
     private final String freeSlotsName;
     private final String freeMemoryName;
 
-    private ModuleOptions(Settings settings, List<?> columns, String x0, String x1) {
+    private ModuleOptions(Settings settings, boolean marksRetries, List<?> columns, String x0, String x1) {
         this.settings = settings;
+        this.marksRetries = marksRetries;
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
         }
@@ -92,7 +95,7 @@
             flag(family, "TellsStart"), integer(family, "ProgressNs", 0), number(prices, "CrossZone", 0),
             number(prices, "Handshake", 0),
             number(prices, "Probe", 0), text(o, "CountedBy", "").equals("work")),
-            list(info, "Columns"), text(family, "ReportX0", ""),
+            flag(map(o, "Clients"), "MarksRetry"), list(info, "Columns"), text(family, "ReportX0", ""),
             text(family, "ReportX1", ""));
     }
 
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -96,10 +96,16 @@
     /** Takes a request; null when one of that name is still open. Its ingress may be called at once. */
     public Request take(String correlation, int jobClass, long budgetNs, double slots, double memory,
                         Object message, Ingress ingress) {
+        return take(correlation, new Job(0, jobClass, budgetNs, 0, slots, memory), message, ingress);
+    }
+
+    /** The same for a front that knows more of the job; its id is given here. */
+    public Request take(String correlation, Job job, Object message, Ingress ingress) {
+        long budgetNs = job.budgetNs();
         if (byCorrelation.containsKey(correlation)) {
             return null;
         }
-        Request r = new Request(++lastId, correlation, jobClass, now() + budgetNs, message, ingress);
+        Request r = new Request(++lastId, correlation, job.jobClass(), now() + budgetNs, message, ingress);
         byId.put(r.id, r);
         byCorrelation.put(correlation, r);
         counters.taken++;
@@ -113,13 +119,14 @@
             }
         };
         timers.set(r.deadline, Math.min(due, lastAnswerAt));
-        tell(() -> module.job(now(), new Job(r.id, jobClass, budgetNs, 0, slots, memory)));
+        tell(() -> module.job(now(), new Job(r.id, job.jobClass(), budgetNs, job.workNs(), job.slots(),
+            job.memory(), job.firstTry())));
         return r;
     }
 
     /**
      * The process ends: whatever is taken from now on is answered by then, whatever time its client gives.
-     * The module is not told, since to it a short budget means a client's retry.
+     * The module is not told, since to it a short budget may mean a client's retry.
      */
     public void lastAnswer(long at) {
         lastAnswerAt = at;
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -1,6 +1,7 @@
 package beechseam.platform;
 
 import beechseam.Dispatching.Effect;
+import beechseam.Dispatching.Job;
 import beechseam.Dispatching.JobClass;
 import beechseam.Dispatching.Limits;
 import beechseam.core.Ingress;
@@ -135,8 +136,9 @@
         double slots = Wire.fact(facts, "slots");
         double memory = Wire.fact(facts, "memory");
         JobMessage message = new JobMessage(m.target().toString(), headers.toString(), m.body().copy());
-        Request taken = node.engine.take(id.toString(), jobClass, budget, slots > 0 ? slots : 1,
-            memory >= 0 ? memory : 0, message, this);
+        boolean firstTry = node.options.marksRetries && m.header("x-repeat") == null;
+        Job job = new Job(0, jobClass, budget, 0, slots > 0 ? slots : 1, memory >= 0 ? memory : 0, firstTry);
+        Request taken = node.engine.take(id.toString(), job, message, this);
         if (taken == null) {
             bad(409, "a request with this X-Correlation-Id is still open");
         } else if (!taken.finished()) {
--- a/src/main/java/beechseam/sim/Adapter.java
+++ b/src/main/java/beechseam/sim/Adapter.java
@@ -127,7 +127,8 @@
                 module.list(now, form, form == ListForm.FAILED ? List.of() : banks.get(m.bank));
             }
             case "Inbound" -> module.job(now, new Job(m.corr, instance.options.classIndex(m.qos), m.budgetNs,
-                m.estimateNs, m.needs > 0 ? m.needs : 1, m.memNeeded));
+                m.estimateNs, m.needs > 0 ? m.needs : 1, m.memNeeded,
+                instance.options.marksRetries && !m.retry));
             case "Interim" -> {
                 if (m.kind == 1) {
                     module.started(now, m.corr, m.leg);
--- a/src/main/java/beechseam/sim/Message.java
+++ b/src/main/java/beechseam/sim/Message.java
@@ -27,6 +27,7 @@
     int kind;
     double value;
     boolean closed;
+    boolean retry;
     String how;
     final double[] gauge = new double[MAX_GAUGE];
     int gaugeSize;
@@ -68,6 +69,7 @@
             case "Worker" -> worker = in.getLongValue();
             case "Kind" -> kind = in.getIntValue();
             case "Value" -> value = in.getDoubleValue();
+            case "Retry" -> retry = in.getBooleanValue();
             case "Closed" -> closed = in.getBooleanValue();
             case "How" -> how = in.getText();
             case "Gauge" -> readGauge(in);
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -531,6 +531,17 @@
         assertNotEquals(0, rig.job(501), "starts are timely again");
     }
 
+    /** On days with clients in haste every second first try was refused as a retry that came too late. */
+    @Test
+    void aShortBudgetMeansARetryOnlyWhereRetriesAreNotMarked() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(4);
+        rig.job(1);
+        assertEquals(0, rig.job(2, 0, 1, S), "its aim is long past: refused");
+        assertTrue(rig.did("refuse 2"));
+        rig.module.job(rig.now, new Job(3, 0, S, 0, 1, 0, true));
+        assertNotEquals(0, rig.workerOf(3));
+    }
+
     /** Long queues told once shut a dispatcher: it sent nothing more, and so was told nothing better. */
     @Test
     void longQueuesToldOnceDoNotShutADispatcherForGood() {
