Buffers that grow are bounded together; a faulty ClassKind is named

Seen in reading: with 1,024 descriptors 600 connections may each hold 88 KiB of a message that does not end, 53 MB and as much again while they grow, in a heap of 80 MB; an OutOfMemoryError leaves the loop, and the node is gone. And a list in settings.Specifics that holds no numbers ends the start, or a reload, with a ClassCastException that names no key.

Buffers lends what is larger than 8 KiB only up to a quarter of the heap, and the connection that would need more is cut off; config checks both lists.

--- a/src/main/java/beechseam/config/NodeConfig.java
+++ b/src/main/java/beechseam/config/NodeConfig.java
@@ -109,6 +109,9 @@
         rules.whole("DrainGraceNs", 0, Long.MAX_VALUE, 0);
         rules.number("StartCapacity", 0, 1, 1);
         rules.number("OverloadFactor", 0, 1e6, 1);
+        Tree family = settings.object("Specifics", Map.of());
+        family.numbers("ClassKind");
+        family.numbers("ClassStretch");
         settings.whole("GroupSize", 1, 1_000_000, 1);
         settings.whole("Me", 0, 1_000_000, 0);
     }
--- a/src/main/java/beechseam/config/Tree.java
+++ b/src/main/java/beechseam/config/Tree.java
@@ -147,6 +147,15 @@
         return new Tree(path(key), map);
     }
 
+    /** Checks that a list, if there is one, holds numbers only. */
+    public void numbers(String key) throws ConfigException {
+        Object value = values.get(key);
+        if (value != null && !(value instanceof List<?> list
+            && list.stream().allMatch(each -> each instanceof Number))) {
+            throw wrong(key, "must be a list of numbers");
+        }
+    }
+
     /** The objects of a list; absent is empty. */
     public List<Tree> objects(String key) throws ConfigException {
         Object value = values.get(key);
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -232,7 +232,11 @@
         if (ending) {
             in.clear();
         } else if (!in.hasRemaining()) {
-            grow();
+            ByteBuffer larger = loop.buffers.larger(in, Math.min(mostRead, in.capacity() * 2));
+            if (larger == null) {
+                throw new IOException("no room for so long a message");
+            }
+            in = larger;
         }
         int n = channel.read(in);
         if (n < 0) {
@@ -253,13 +257,6 @@
         }
     }
 
-    private void grow() {
-        ByteBuffer larger = ByteBuffer.allocate(Math.min(mostRead, in.capacity() * 2));
-        larger.put(in.flip());
-        loop.buffers.give(in);
-        in = larger;
-    }
-
     private void offer() {
         in.flip();
         received(in);
--- a/src/main/java/beechseam/net/EventLoop.java
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -22,7 +22,7 @@
     }
 
     public final TimerQueue timers = new TimerQueue();
-    public final Buffers buffers = new Buffers();
+    public final Buffers buffers;
     private final Selector selector;
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     // Unix time that never steps: discovery dates starts in Unix time, and deadlines need a steady clock.
@@ -30,6 +30,11 @@
     private volatile boolean stopping;
 
     public EventLoop() throws IOException {
+        this(new Buffers());
+    }
+
+    EventLoop(Buffers buffers) throws IOException {
+        this.buffers = buffers;
         selector = Selector.open();
     }
 
--- a/src/test/java/beechseam/config/ConfigTest.java
+++ b/src/test/java/beechseam/config/ConfigTest.java
@@ -55,6 +55,7 @@
         "settings.Classes | [{\"Name\":\"c\",\"AimNs\":5}] | []",
         "settings.Classes[0].Name | \"Name\":\"c\" | \"N\":1",
         "settings.Classes[0].AimNs | :5 | :-5",
+        "settings.Specifics.ClassKind | \"Limits\":{\"M | \"Specifics\":{\"ClassKind\":[{}]},\"Limits\":{\"M",
         "settings.Limits.MaxAttempts | :3 | :0"})
     void aFaultNamesItsKey(String key, String from, String to) throws Exception {
         assertTrue(GOOD.contains(from), from);
--- a/src/test/java/beechseam/net/ConnectionTest.java
+++ b/src/test/java/beechseam/net/ConnectionTest.java
@@ -5,6 +5,8 @@
 import beechseam.Loopback;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -92,6 +94,43 @@
         }
     }
 
+    /** Hundreds that send half a message each must not fill the heap: the one too many is cut off. */
+    @Test
+    void longMessagesThatNobodyUsesUpAreBoundedTogether() throws IOException {
+        Buffers buffers = new Buffers(5 * 16 * 1024);
+        List<ByteBuffer> lent = new ArrayList<>();
+        for (ByteBuffer b; (b = buffers.larger(buffers.take().put((byte) 7), 16 * 1024)) != null;) {
+            assertEquals(1, b.position(), "it holds what the other held");
+            lent.add(b);
+        }
+        assertEquals(5, lent.size());
+        buffers.give(lent.remove(0));
+        assertNotNull(buffers.larger(buffers.take(), 16 * 1024), "what is given back is lent again");
+        EventLoop loop = new EventLoop(new Buffers(0));
+        try (ServerSocketChannel server = ServerSocketChannel.open().bind(Loopback.anyPort())) {
+            boolean[] lost = {false};
+            Connection near = new Connection(loop, null, 64 * 1024) {
+                @Override
+                protected void received(ByteBuffer bytes) {
+                    assertTrue(bytes.remaining() <= Buffers.SIZE); // and uses none of it
+                }
+
+                @Override
+                protected void lost(IOException why) {
+                    lost[0] = true;
+                }
+            };
+            near.connect(server.getLocalAddress());
+            try (SocketChannel far = server.accept()) {
+                far.write(ByteBuffer.allocate(Buffers.SIZE + 1));
+                for (int i = 0; i < 2000 && !lost[0]; i++) {
+                    loop.turn(10_000_000L);
+                }
+            }
+            assertTrue(lost[0]);
+        }
+    }
+
     @Test
     void aRefusedConnectIsLostOnce() {
         try (Loopback net = new Loopback()) {
