An answered probe takes back half of a firm doubt

Trace: five targets fell silent together and are back (reports 0.6 to 1.9 s old, from probes), but their doubt, 16 at the silence's end, is still 5 to 9 four seconds later, and no job goes there.

At fault: probed() took the report of an answered probe and left the doubt to fade by time alone, from 16 to the threshold in 13 s. An answer now takes back half of a doubt above 4, as a served job does; below that slowness may be meant.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -37,6 +37,8 @@
     /** A doubted worker's sf is raised at most so much, and the doubt fades by e in this time. */
     private static final double MAX_DOUBT = 16;
     private static final double DOUBT_FADE_NS = 4e9;
+    /** Doubt above which an answered probe takes back half of it. */
+    private static final double FIRM_DOUBT = 4;
     /** Part of the cold budget that is used: speeds and sizes are estimates. */
     private static final double COLD_SAFETY = 0.5;
     /** A job's work may be this multiple of its estimate when it is booked on a cold worker. */
@@ -1005,6 +1007,9 @@
             double lag = now - m.probeAt; // most are answered at once: what is slow weighs little
             probeLagNs += 0.05 * Math.max(-probeLagNs, Math.min(probeLagNs, lag - probeLagNs));
             report(m, load);
+            if (doubt(m) > FIRM_DOUBT) {
+                trust(m); // so doubted no job goes there to tell that a silence is over: an answer does
+            }
         } else {
             doubt(m, doubt(m) * 1.5);
         }
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -542,6 +542,26 @@
         assertNotEquals(0, rig.workerOf(3));
     }
 
+    /** Half of a fleet that was silent for a second was left out for ten more: no job went there to tell. */
+    @Test
+    void aWorkerThatAnswersProbesAgainIsTrustedSooner() {
+        long[] placedAfter = {0, 0};
+        for (int told = 0; told < 2; told++) {
+            Rig rig = new Rig(Rig.settings(SAFE)).workers(1);
+            for (int i = 1; i <= 6; i++) {
+                rig.module.probed(rig.now, 1, false, null);
+            }
+            for (int i = 1; placedAfter[told] == 0; i++) {
+                rig.now += S / 2;
+                if (told == 1) {
+                    rig.module.probed(rig.now, 1, true, Rig.load(0, 0, 4));
+                }
+                placedAfter[told] = rig.job(i) == 0 ? 0 : i;
+            }
+        }
+        assertTrue(placedAfter[1] < placedAfter[0], placedAfter[1] + " of " + placedAfter[0]);
+    }
+
     /** Long queues told once shut a dispatcher: it sent nothing more, and so was told nothing better. */
     @Test
     void longQueuesToldOnceDoNotShutADispatcherForGood() {
