A door for operators with status, standby and active; standby sends clients away

Lines at fault: none, the part was missing; stopping() and drained() of PlatformNode knew SIGTERM only. Both now go by one Departure.

--- /dev/null
+++ b/src/main/java/beechseam/ops/Door.java
@@ -0,0 +1,117 @@
+package beechseam.ops;
+
+import beechseam.core.Timer;
+import beechseam.net.Connection;
+import beechseam.net.EventLoop;
+import beechseam.net.Listener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** The door for operators: a connection brings one line, gets one answer and is closed. */
+public final class Door {
+    private static final int MOST_CALLERS = 16;
+    private static final int MOST_LINE = 512;
+    /** A call comes whole in this time, and so long its answer may wait to be taken. */
+    private static final long CALL_NS = 10_000_000_000L;
+    private static final long END_NS = 1_000_000_000L;
+
+    private final EventLoop loop;
+    private final Operations operations;
+    private final Listener listener;
+    private final Set<Call> calls = new LinkedHashSet<>();
+
+    public Door(EventLoop loop, SocketAddress at, Operations operations) throws IOException {
+        this.loop = loop;
+        this.operations = operations;
+        listener = new Listener(loop, at, this::accept);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    public void close() {
+        listener.close();
+        Set.copyOf(calls).forEach(Call::close);
+    }
+
+    /** Callers that never finish make room, the oldest first, so that they keep nobody out. */
+    private void accept(SocketChannel channel) throws IOException {
+        if (calls.size() >= MOST_CALLERS) {
+            calls.iterator().next().close();
+        }
+        calls.add(new Call(channel));
+    }
+
+    private String answer(String line) {
+        String[] words = line.strip().split("[ \t]+");
+        return switch (words[0]) {
+            case "status" -> words.length > 1 ? extra(words) : said(operations.status());
+            case "standby" -> words.length > 1 ? extra(words) : said(operations.standby(true));
+            case "active" -> words.length > 1 ? extra(words) : said(operations.standby(false));
+            default -> "ERR unknown call; there are status, standby and active\n";
+        };
+    }
+
+    private static String extra(String[] words) {
+        return "ERR " + words[0] + " takes no further word\n";
+    }
+
+    private static String said(String why) {
+        return why == null ? "OK\n" : "ERR " + why + "\n";
+    }
+
+    private final class Call extends Connection {
+        private final Timer patience = new Timer() {
+            @Override
+            protected void fire() {
+                close();
+            }
+        };
+
+        Call(SocketChannel channel) throws IOException {
+            super(Door.this.loop, channel, MOST_LINE);
+            loop.timers.set(patience, loop.now() + CALL_NS);
+        }
+
+        @Override
+        protected void received(ByteBuffer in) {
+            for (int i = in.position(); i < in.limit() && i < MOST_LINE; i++) {
+                if (in.get(i) == '\n') {
+                    byte[] line = new byte[i - in.position()];
+                    in.get(line);
+                    end(answer(new String(line, StandardCharsets.ISO_8859_1)));
+                    in.position(in.limit()); // one line is all that a connection carries
+                    return;
+                }
+            }
+            if (in.remaining() >= MOST_LINE) {
+                in.position(in.limit());
+                end("ERR the line is longer than " + MOST_LINE + " bytes\n");
+            }
+        }
+
+        private void end(String answer) {
+            loop.timers.set(patience, loop.now() + END_NS);
+            write(ByteBuffer.wrap(answer.getBytes(StandardCharsets.ISO_8859_1)));
+            endWhenWritten();
+        }
+
+        @Override
+        protected void lost(IOException why) {
+            // Whoever hangs up wants no answer.
+        }
+
+        @Override
+        protected void released() {
+            loop.timers.cancel(patience);
+            calls.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/ops/Operations.java
@@ -0,0 +1,10 @@
+package beechseam.ops;
+
+/** What operators ask of a node. A call that is not done gives the reason, one that is done gives null. */
+public interface Operations {
+    /** Done when clients are served by this process. */
+    String status();
+
+    /** Sends clients away, or takes them again. */
+    String standby(boolean on);
+}
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -22,6 +22,7 @@
 
     private final PlatformNode node;
     private Request request;
+    private boolean callbacks;
 
     IngressConnection(PlatformNode node, SocketChannel channel) throws IOException {
         super(node.loop, channel);
@@ -34,6 +35,7 @@
         boolean get = m.method().same("GET");
         if (path.same("/v1/job-events")) {
             if (allowed(m.method().same("POST"), "POST")) {
+                callbacks = true;
                 boolean understood = node.callbacks.take(m.body());
                 respond(understood ? 204 : 400, understood ? "" : PLAIN,
                     understood ? Wire.NOTHING : text("not a job event"));
@@ -86,7 +88,7 @@
             bad(400, "X-Time-Left is missing or no time, such as 480m or 1500u");
         } else if (key == null ? keyed(jobClass) : !key.isVisible()) {
             bad(400, "Idempotency-Key is missing or malformed");
-        } else if (node.crowded()) {
+        } else if (node.crowded() || node.shedding()) {
             turnAway();
         } else {
             take(m, jobClass, id, budget, key);
@@ -183,7 +185,12 @@
 
     @Override
     protected boolean stopping() {
-        return node.leaving();
+        return callbacks ? node.leavingCallbacks() : node.leaving();
+    }
+
+    /** Whether it has carried call-backs: it is an executor's, not a client's. */
+    boolean callbacks() {
+        return callbacks;
     }
 
     @Override
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -8,6 +8,8 @@
 import beechseam.core.Timer;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
+import beechseam.ops.Door;
+import beechseam.ops.Operations;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -15,10 +17,11 @@
 import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 /** A node on the platform's protocol: one listener, one core, the way to the executors, and discovery. */
-public final class PlatformNode {
+public final class PlatformNode implements Operations {
     private static final Logger LOG = System.getLogger(PlatformNode.class.getName());
     private static final long SWEEP_NS = 250_000_000L;
     /** A connection just accepted is likely to bring its request in the next turns. */
@@ -45,6 +48,7 @@
     private final EgressPool pool;
     private final Discovery discovery;
     private final Listener listener;
+    private final Door door;
     private final Set<IngressConnection> ingress = new LinkedHashSet<>();
     private NodeConfig config;
     private int mostIngress;
@@ -63,7 +67,7 @@
     };
     private boolean stopping;
     private Runnable stopped;
-    private long leavesAt = Long.MAX_VALUE;
+    private Departure departure = Departure.NONE;
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
         this.loop = loop;
@@ -78,6 +82,7 @@
         discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool);
         discovery.start(config.known());
         listener = new Listener(loop, config.listen(), this::accept);
+        door = config.console() == null ? null : new Door(loop, config.console(), this);
         loop.timers.set(sweep, loop.now() + SWEEP_NS);
         LOG.log(Level.INFO, config.name() + " listens on " + listener.address());
     }
@@ -100,8 +105,10 @@
         share(next.sockets());
         if (!next.listen().equals(config.listen()) || !next.name().equals(config.name())
             || !next.options().settings.equals(config.options().settings)
+            || !Objects.equals(next.console(), config.console())
             || next.connectTimeoutNs() != config.connectTimeoutNs()) {
-            LOG.log(Level.WARNING, "reload: a new name, listen or settings counts from the next start");
+            LOG.log(Level.WARNING,
+                "reload: a new name, listen, console or settings counts from the next start");
         }
         config = next;
         LOG.log(Level.INFO, "reload: done");
@@ -111,6 +118,11 @@
         return listener.address();
     }
 
+    /** The operators' address, or null. */
+    public InetSocketAddress console() throws IOException {
+        return door == null ? null : door.address();
+    }
+
     public Counters counters() {
         return counters;
     }
@@ -172,12 +184,41 @@
 
     /** Knows executors, by the list held or by discovery, and is not on its way out. */
     boolean ready() {
-        return !stopping && (engine.routes().size() > 0 || discovery.held());
+        return status() == null;
+    }
+
+    @Override
+    public String status() {
+        return stopping ? "stopping" : departure != Departure.NONE ? "standby"
+            : engine.routes().size() > 0 || discovery.held() ? null : "no route table yet";
+    }
+
+    @Override
+    public String standby(boolean on) {
+        if (stopping) {
+            return "stopping";
+        }
+        if (on != (departure != Departure.NONE)) {
+            departure = on ? Departure.standby(loop.now()) : Departure.NONE;
+            LOG.log(Level.INFO, on ? "standby: clients are sent away" : "active: clients are served");
+            drained();
+        }
+        return null;
     }
 
     /** Whether clients are sent away: not yet at SIGTERM, for the other nodes may be restarting as well. */
     boolean leaving() {
-        return loop.now() >= leavesAt;
+        return loop.now() >= departure.leavesAt();
+    }
+
+    /** The same for a connection that has carried call-backs. */
+    boolean leavingCallbacks() {
+        return leaving() && !departure.sparesCallbacks();
+    }
+
+    /** Whether further jobs are turned away. */
+    boolean shedding() {
+        return loop.now() >= departure.shedsAt();
     }
 
     private void sweep() {
@@ -201,7 +242,9 @@
                 .orElse(0);
             long last = KILL_NS + Math.min(MOST_COUNTED_NS, longest) - KILL_MARGIN_NS;
             engine.lastAnswer(loop.now() + last);
-            leavesAt = loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
+            // On standby clients have found other nodes: nothing is waited for.
+            departure = Departure.stop(departure != Departure.NONE ? loop.now()
+                : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS));
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             drained();
         }
@@ -209,19 +252,22 @@
 
     private void drained() {
         long now = loop.now();
-        if (leaving()) {
+        if (now >= departure.clearsAt()) {
             // One just accepted looks idle until its first bytes are read: a call-back may be on its way.
-            List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS)
-                .forEach(IngressConnection::close);
+            List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS
+                && !(each.callbacks() && departure.sparesCallbacks())).forEach(IngressConnection::close);
         }
         // The listener stays to the last: call-backs come to it.
-        if (leaving() && engine.open() == 0 && ingress.isEmpty()) {
+        if (stopping && leaving() && engine.open() == 0 && ingress.isEmpty()) {
             listener.close();
+            if (door != null) {
+                door.close();
+            }
             discovery.stop();
             pool.close();
             loop.timers.cancel(sweep);
             stopped.run();
-        } else {
+        } else if (departure != Departure.NONE) {
             loop.timers.set(drain, now + DRAIN_CHECK_NS);
         }
     }
--- a/src/test/java/beechseam/config/ConfigTest.java
+++ b/src/test/java/beechseam/config/ConfigTest.java
@@ -37,6 +37,7 @@
             tree(GOOD.replace("\"limits\"", "\"x\"").replace("\"known\"", "\"y\"")));
         assertEquals(1024, bare.sockets());
         assertTrue(bare.known().servers().isEmpty());
+        assertNull(bare.console(), "no door unless one is asked for");
     }
 
     @ParameterizedTest
@@ -47,6 +48,7 @@
         "listen | 127.0.0.1:8081 | localhost:8081",
         "listen | 127.0.0.1:8081 | 127.0.0.1:99999",
         "discovery | 127.0.0.2:8500 | 127.0.0.2",
+        "console | \"seed\" | \"console\":\"8500\",\"seed\"",
         "seed | 8c1f30d27a5be964 | xyz",
         "limits.sockets | 1024 | 3",
         "limits.sockets | 1024 | 100.5",
@@ -68,8 +70,9 @@
     void theEnvironmentComesBeforeTheFile(@TempDir Path dir) throws Exception {
         Path file = Files.writeString(dir.resolve("c.json"), GOOD);
         NodeConfig c = NodeConfig.of(Map.of("PROXY_CONFIG", file.toString(), "PROXY_NAME", "other",
-            "PROXY_LISTEN", "127.0.0.5:9"));
+            "PROXY_LISTEN", "127.0.0.5:9", "PROXY_CONSOLE", "127.0.0.6:10"));
         assertEquals("other", c.name());
+        assertEquals(10, c.console().getPort());
         assertEquals(9, c.listen().getPort());
         Path broken = Files.writeString(dir.resolve("b.json"), "{");
         assertThrows(ConfigException.class, () -> NodeConfig.read(broken.toString()));
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -52,7 +52,8 @@
 
     private NodeConfig config(InetSocketAddress discoveryAt) throws IOException, ConfigException {
         byte[] text = ("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-            + discoveryAt.getPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":128},\"known\":"
+            + discoveryAt.getPort() + "\",\"console\":\"127.0.0.1:0\",\"seed\":\"1f\","
+            + "\"limits\":{\"sockets\":128},\"known\":"
             + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
         return NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length)));
     }
@@ -471,6 +472,49 @@
         assertEquals(0, node.engine.open());
     }
 
+    /** After the call nothing idle or young may be held, while what was taken and its call-backs go on. */
+    @Test
+    void standbySendsClientsAwayAndActiveTakesThemAgain() throws Exception {
+        Peer early = ask("c1", "once", "30000m");
+        hop(0, "c1").say(answer("202 Accepted", ""));
+        executor.get(0).take();
+        Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+        Peer idle = client().say("GET /_health HTTP/1.1\r\n\r\n");
+        heard(idle, "ready\n");
+        Peer silent = client();
+        assertEquals("OK\n", operator("standby"));
+        assertEquals("OK\n", operator("standby"), "said again it changes nothing");
+        long start = System.nanoTime();
+        assertEquals("ERR standby\n", operator("status"));
+        Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
+        net.until("an answer", () -> health.heard().startsWith("HTTP/1.1 503"));
+        Peer second = ask("c2", "once", "30000m"); // the front sends new clients for a moment more
+        hop(0, "c2").say(answer("202 Accepted", ""));
+        done("c2", "two");
+        assertTrue(heard(second, "two").contains("Connection: close\r\n"));
+        net.until("idle and silent ones away", () -> idle.gone && silent.gone);
+        assertTrue(System.nanoTime() - start < 3_500_000_000L, "in time");
+        net.until("the time to shed", node::shedding);
+        Peer late = ask("c3", "once", "30000m");
+        net.until("shed", () -> late.gone);
+        assertTrue(late.heard().startsWith("HTTP/1.1 503") && late.heard().contains("Connection: close"));
+        assertFalse(caller.gone, "a connection of call-backs is no client's");
+        done("c1", "one");
+        heard(early, "one");
+        assertEquals("OK\n", operator("active"));
+        assertEquals("OK\n", operator("status"));
+        Peer back = ask("c4", "once", "30000m");
+        hop(0, "c4");
+        done("c4", "four");
+        assertFalse(heard(back, "four").contains("Connection: close"));
+    }
+
+    private String operator(String call) throws IOException {
+        Peer peer = net.dial(node.console()).say(call + "\n");
+        net.until("the answer to " + call, () -> peer.gone);
+        return peer.heard();
+    }
+
     /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
     @Test
     void connectionsAreBoundedOnTheIngressSide() {
