--- a/src/main/java/beechseam/config/NodeConfig.java
+++ b/src/main/java/beechseam/config/NodeConfig.java
@@ -12,8 +12,8 @@
  * given defaults.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery,
-                         String discoveryHost, InetSocketAddress console, long seed, int sockets,
-                         MemberList known, ModuleOptions options, long connectTimeoutNs) {
+                         String discoveryHost, InetSocketAddress console, Path state, long seed,
+                         int sockets, MemberList known, ModuleOptions options, long connectTimeoutNs) {
     private static final long DEFAULT_CONNECT_TIMEOUT_NS = 250_000_000L;
 
     /** By the environment: the file that PROXY_CONFIG names, and the other variables in its stead. */
@@ -38,6 +38,9 @@
         put(values, "name", environment.get("PROXY_NAME"));
         put(values, "listen", environment.get("PROXY_LISTEN"));
         put(values, "console", environment.get("PROXY_CONSOLE"));
+        if (values.get("state_dir") == null) { // TMPDIR is not ours alone: the file's word goes first
+            put(values, "state_dir", environment.get("TMPDIR"));
+        }
         if (!again || values.get("discovery") == null) {
             put(values, "discovery", environment.get("PROXY_DISCOVERY"));
         }
@@ -74,7 +77,8 @@
         Tree limits = c.object("limits", Map.of());
         Tree bounds = settings.object("Limits", Map.of());
         return new NodeConfig(c.text("name", "node"), c.address("listen", null), c.address("discovery", null),
-            c.text("discovery"), c.has("console") ? c.address("console", null) : null, seed(c),
+            c.text("discovery"), c.has("console") ? c.address("console", null) : null,
+            c.directory("state_dir"), seed(c),
             (int) limits.whole("sockets", 32, 1 << 20, 1024),
             MemberList.of(c.object("known", Map.of())), ModuleOptions.of(settings.values()),
             bounds.whole("ConnectTimeoutNs", 1_000_000L, 60_000_000_000L, DEFAULT_CONNECT_TIMEOUT_NS));
--- a/src/main/java/beechseam/config/Tree.java
+++ b/src/main/java/beechseam/config/Tree.java
@@ -1,6 +1,8 @@
 package beechseam.config;
 
 import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -102,6 +104,15 @@
         throw wrong(key, "must be one of " + List.of(words.getEnumConstants()).toString().toLowerCase());
     }
 
+    /** A directory, or null where none is named; it is not looked for here. */
+    public Path directory(String key) throws ConfigException {
+        try {
+            return has(key) ? Path.of(text(key)) : null;
+        } catch (InvalidPathException e) {
+            throw wrong(key, "must be a path: " + e.getReason());
+        }
+    }
+
     /** An IP address and port; no names, since nothing here resolves them. */
     public InetSocketAddress address(String key, String otherwise) throws ConfigException {
         String value = text(key, otherwise);
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -41,7 +41,9 @@
         this.mostRead = mostRead;
         this.channel = channel != null ? channel : SocketChannel.open();
         this.channel.configureBlocking(false);
-        this.channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        if (this.channel.supportedOptions().contains(StandardSocketOptions.TCP_NODELAY)) { // no Unix socket
+            this.channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        }
         lastActivity = loop.now();
         connecting = channel == null; // bytes written before it is up wait
         if (channel != null) {
--- a/src/main/java/beechseam/net/Listener.java
+++ b/src/main/java/beechseam/net/Listener.java
@@ -1,10 +1,14 @@
 package beechseam.net;
 
+import beechseam.core.Timer;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
+import java.net.StandardSocketOptions;
+import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -21,16 +25,31 @@
         void take(SocketChannel channel) throws IOException;
     }
 
+    /** A closing listener is off its selector by then, so that the last accept and the close are one. */
+    private static final long OFF_NS = 5_000_000L;
+
+    private final EventLoop loop;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private final Taker taker;
 
     public Listener(EventLoop loop, SocketAddress at, Taker taker) throws IOException {
+        this(loop, at, taker, false);
+    }
+
+    /** {@code shared}: other processes may listen there too, and the kernel deals out what comes. */
+    public Listener(EventLoop loop, SocketAddress at, Taker taker, boolean shared) throws IOException {
+        this.loop = loop;
         this.taker = taker;
-        channel = ServerSocketChannel.open();
+        boolean local = at instanceof UnixDomainSocketAddress;
+        channel = local ? ServerSocketChannel.open(StandardProtocolFamily.UNIX) : ServerSocketChannel.open();
         try {
-            // A restart must not wait for the last life's connections to time out.
-            channel.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            if (!local) { // a restart must not wait for the last life's connections to time out
+                channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            }
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             channel.configureBlocking(false);
             channel.bind(at, BACKLOG);
             key = loop.register(channel, SelectionKey.OP_ACCEPT, this);
@@ -53,24 +72,47 @@
 
     @Override
     public void ready(SelectionKey ignored) {
+        for (int i = 0; i < AT_ONCE && key.isValid() && key.interestOps() != 0 && acceptOne(); i++) {
+            continue;
+        }
+    }
+
+    private boolean acceptOne() {
         try {
-            for (int i = 0; i < AT_ONCE && key.isValid() && key.interestOps() != 0; i++) {
-                SocketChannel accepted = channel.accept();
-                if (accepted == null) {
-                    return;
-                }
-                try {
-                    taker.take(accepted);
-                } catch (IOException | RuntimeException e) {
-                    EventLoop.closeQuietly(accepted);
-                    throw e;
-                }
+            SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return false;
+            }
+            try {
+                taker.take(accepted);
+                return true;
+            } catch (IOException | RuntimeException e) {
+                EventLoop.closeQuietly(accepted);
+                throw e;
             }
         } catch (IOException e) { // out of descriptors, or gone before it was taken: the listener stays
             LOG.log(Level.WARNING, "could not accept: " + e.getMessage());
+            return false;
         }
     }
 
+    /**
+     * Closes once all that wait are taken: those left in the kernel's queue would be reset. A channel on a
+     * selector is closed by the next select only, and until then the kernel would go on queueing.
+     */
+    public void closeWhenEmpty() {
+        key.cancel();
+        loop.timers.set(new Timer() {
+            @Override
+            protected void fire() {
+                while (acceptOne()) {
+                    continue;
+                }
+                close();
+            }
+        }, loop.now() + OFF_NS);
+    }
+
     public void close() {
         EventLoop.closeQuietly(channel);
     }
--- a/src/main/java/beechseam/ops/Door.java
+++ b/src/main/java/beechseam/ops/Door.java
@@ -49,7 +49,8 @@
         calls.add(new Call(channel));
     }
 
-    private String answer(String line) {
+    /** Carries out a call; the answer with its line end. */
+    public static String answer(Operations operations, String line) {
         String[] words = line.strip().split("[ \t]+");
         return switch (words[0]) {
             case "status" -> words.length > 1 ? extra(words) : said(operations.status());
@@ -86,7 +87,7 @@
                 if (in.get(i) == '\n') {
                     byte[] line = new byte[i - in.position()];
                     in.get(line);
-                    end(answer(new String(line, StandardCharsets.ISO_8859_1)));
+                    end(answer(operations, new String(line, StandardCharsets.ISO_8859_1)));
                     in.position(in.limit()); // one line is all that a connection carries
                     return;
                 }
--- a/src/main/java/beechseam/platform/Callbacks.java
+++ b/src/main/java/beechseam/platform/Callbacks.java
@@ -11,22 +11,36 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
- * What executors tell of jobs. An event may come before the 202, twice, late, or for a request that is long
- * forgotten: whatever finds no hop that is out at its sender is taken and passed over.
+ * What executors tell of jobs, here or by way of another process of this node. An event may come before the
+ * 202, twice, late, or for a request that is long forgotten: whatever finds no hop that is out at its sender
+ * is taken and passed over.
  */
 final class Callbacks {
     private final Engine engine;
     private final ModuleOptions options;
+    private final Predicate<Slice> elsewhere;
 
-    Callbacks(Engine engine, ModuleOptions options) {
+    /** {@code elsewhere} hands an event to the other processes of this node, and is false where none is. */
+    Callbacks(Engine engine, ModuleOptions options, Predicate<Slice> elsewhere) {
         this.engine = engine;
         this.options = options;
+        this.elsewhere = elsewhere;
     }
 
-    /** Whether the body was an event at all. */
+    /** Whether the body was an event at all. One for a job that is not here may be another process's. */
     boolean take(Slice body) {
+        return take(body, true);
+    }
+
+    /** One that another process had no job for: it goes no further. */
+    void passed(Slice body) {
+        take(body, false);
+    }
+
+    private boolean take(Slice body, boolean first) {
         Object tree;
         try {
             tree = Json.parse(body.bytes(), body.from(), body.length());
@@ -38,6 +52,9 @@
             return false;
         }
         Request request = engine.find(id);
+        if (request == null && first && elsewhere.test(body)) {
+            return true;
+        }
         Hop hop = request == null ? null : request.hopAt(Wire.target(from));
         if (hop == null) {
             engine.counters().lateCallbacks++;
--- a/src/main/java/beechseam/platform/Departure.java
+++ b/src/main/java/beechseam/platform/Departure.java
@@ -19,4 +19,9 @@
     static Departure stop(long leavesAt) {
         return new Departure(leavesAt, leavesAt, Long.MAX_VALUE, false);
     }
+
+    /** The end of a process whose clients another takes: they are sent there with their answers. */
+    static Departure handOver(long now, long clearsAt) {
+        return new Departure(now, clearsAt, Long.MAX_VALUE, true);
+    }
 }
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -6,6 +6,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Engine;
 import beechseam.core.Timer;
+import beechseam.http.Slice;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
 import beechseam.ops.Door;
@@ -47,8 +48,9 @@
     final Callbacks callbacks;
     private final EgressPool pool;
     private final Discovery discovery;
-    private final Listener listener;
     private final Door door;
+    private final Succession succession;
+    private Listener listener;
     private final Set<IngressConnection> ingress = new LinkedHashSet<>();
     private NodeConfig config;
     private int mostIngress;
@@ -74,25 +76,51 @@
         this.config = config;
         options = config.options();
         pool = new EgressPool(loop, config.connectTimeoutNs(), options.settings.limits().idleCloseNs());
-        share(config.sockets());
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
-        callbacks = new Callbacks(engine, options);
+        callbacks = new Callbacks(engine, options, this::elsewhere);
         discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool);
         discovery.start(config.known());
-        listener = new Listener(loop, config.listen(), this::accept);
+        succession = config.console() == null || config.state() == null ? null
+            : new Succession(this, config);
+        share();
+        if (succession == null || succession.joined()) {
+            listen();
+        }
         door = config.console() == null ? null : new Door(loop, config.console(), this);
         loop.timers.set(sweep, loop.now() + SWEEP_NS);
+    }
+
+    /** Takes clients, on an address that a successor may share later. */
+    void listen() throws IOException {
+        listener = new Listener(loop, config.listen(), this::accept, succession != null);
         LOG.log(Level.INFO, config.name() + " listens on " + listener.address());
     }
 
-    /** Deals out the descriptors that the configuration grants. */
-    private void share(int granted) {
+    boolean listening() {
+        return listener != null;
+    }
+
+    /** Whether discovery has answered. */
+    boolean held() {
+        return discovery.held();
+    }
+
+    private boolean elsewhere(Slice event) {
+        return succession != null && succession.pass(event);
+    }
+
+    /** Deals out the descriptors that the configuration grants, among the processes of the node. */
+    void share() {
+        int granted = config.sockets() / (succession == null ? 1 : succession.processes());
         int sockets = Math.max(16, granted - SPARE_SOCKETS);
         int mostEgress = sockets * 3 / 8;
         mostIngress = sockets - mostEgress - 1;
         pool.bound(mostEgress, Math.max(4, mostEgress / 4));
+        if (listening() && ingress.size() < room()) {
+            listener.accepting(true);
+        }
     }
 
     /**
@@ -102,7 +130,6 @@
      */
     public void reload(NodeConfig next) {
         discovery.move(next.discovery(), next.discoveryHost());
-        share(next.sockets());
         if (!next.listen().equals(config.listen()) || !next.name().equals(config.name())
             || !next.options().settings.equals(config.options().settings)
             || !Objects.equals(next.console(), config.console())
@@ -111,6 +138,7 @@
                 "reload: a new name, listen, console or settings counts from the next start");
         }
         config = next;
+        share();
         LOG.log(Level.INFO, "reload: done");
     }
 
@@ -127,15 +155,23 @@
         return counters;
     }
 
+    /**
+     * How many connections there may be: the bound, but always room for call-backs beside the jobs held.
+     * These may be more than the bound allows where another process of the node has just taken half of it.
+     */
+    private int room() {
+        return Math.max(mostIngress, jobs + mostIngress / 4);
+    }
+
     private void accept(SocketChannel channel) throws IOException {
-        if (ingress.size() >= mostIngress) {
-            IngressConnection least = leastOfUse();
-            if (least != null) {
-                least.close();
-            }
+        // More than one where the bound has been lowered: else the listener would stay shut beside idle ones.
+        IngressConnection least = ingress.size() >= room() ? leastOfUse() : null;
+        while (least != null) {
+            least.close();
+            least = ingress.size() >= room() ? leastOfUse() : null;
         }
         ingress.add(new IngressConnection(this, channel));
-        if (ingress.size() > mostIngress) {
+        if (ingress.size() > room()) {
             listener.accepting(false); // the next wait in the kernel until one here ends
         }
     }
@@ -177,22 +213,31 @@
 
     void released(IngressConnection connection) {
         ingress.remove(connection);
-        if (ingress.size() < mostIngress) {
+        if (ingress.size() < room()) {
             listener.accepting(true);
         }
     }
 
-    /** Knows executors, by the list held or by discovery, and is not on its way out. */
+    /** What the node says of its health; whose clients another process takes must not speak against it. */
     boolean ready() {
-        return status() == null;
+        return handedOver() || status() == null;
+    }
+
+    boolean handedOver() {
+        return succession != null && succession.handedOver();
     }
 
     @Override
     public String status() {
-        return stopping ? "stopping" : departure != Departure.NONE ? "standby"
+        return stopping ? "stopping" : standby() ? "standby"
+            : succession != null && !succession.joined() ? "starting"
             : engine.routes().size() > 0 || discovery.held() ? null : "no route table yet";
     }
 
+    boolean standby() {
+        return !stopping && departure != Departure.NONE;
+    }
+
     @Override
     public String standby(boolean on) {
         if (stopping) {
@@ -202,6 +247,9 @@
             departure = on ? Departure.standby(loop.now()) : Departure.NONE;
             LOG.log(Level.INFO, on ? "standby: clients are sent away" : "active: clients are served");
             drained();
+            if (succession != null) {
+                succession.tell(on ? "standby" : "active");
+            }
         }
         return null;
     }
@@ -243,13 +291,41 @@
             long last = KILL_NS + Math.min(MOST_COUNTED_NS, longest) - KILL_MARGIN_NS;
             engine.lastAnswer(loop.now() + last);
             // On standby clients have found other nodes: nothing is waited for.
-            departure = Departure.stop(departure != Departure.NONE ? loop.now()
-                : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS));
+            long late = departure != Departure.NONE ? loop.now()
+                : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
-            drained();
+            depart(late);
+            loop.timers.set(drain, loop.now() + DRAIN_CHECK_NS); // the last who wait are accepted by then
+        }
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    /** The way of the end: clients go to another process of the node, or, where none takes them, stay on. */
+    void depart(long late) {
+        boolean before = handedOver();
+        boolean handsOver = succession != null && succession.handOver();
+        departure = handsOver ? Departure.handOver(loop.now(), late) : Departure.stop(late);
+        if (handsOver && !before) {
+            LOG.log(Level.INFO, "clients go to the other process of this node");
+            listener.closeWhenEmpty();
+        } else if (before && !handsOver) {
+            LOG.log(Level.WARNING, "the other process is gone: listening again");
+            try {
+                listen();
+            } catch (IOException e) {
+                LOG.log(Level.ERROR, "cannot listen again: " + e.getMessage());
+            }
         }
     }
 
+    /** A successor has come or gone while this process ends. */
+    void departAgain() {
+        depart(departure.clearsAt());
+    }
+
     private void drained() {
         long now = loop.now();
         if (now >= departure.clearsAt()) {
@@ -257,12 +333,19 @@
             List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS
                 && !(each.callbacks() && departure.sparesCallbacks())).forEach(IngressConnection::close);
         }
-        // The listener stays to the last: call-backs come to it.
-        if (stopping && leaving() && engine.open() == 0 && ingress.isEmpty()) {
-            listener.close();
+        // The listener stays to the last where it is the only one: call-backs come to it.
+        if (stopping && leaving() && engine.open() == 0 && ingress.stream()
+            .allMatch(each -> each.callbacks() && departure.sparesCallbacks() && each.idle())) {
+            if (listener != null) {
+                listener.close();
+            }
+            List.copyOf(ingress).forEach(IngressConnection::close);
             if (door != null) {
                 door.close();
             }
+            if (succession != null) {
+                succession.close();
+            }
             discovery.stop();
             pool.close();
             loop.timers.cancel(sweep);
--- /dev/null
+++ b/src/main/java/beechseam/platform/Succession.java
@@ -0,0 +1,124 @@
+package beechseam.platform;
+
+import beechseam.config.NodeConfig;
+import beechseam.core.Timer;
+import beechseam.http.Slice;
+import beechseam.ops.Door;
+import beechseam.ops.Link;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** One node of two processes: how the younger joins, and when the elder may hand over to it. */
+final class Succession implements Link.Process {
+    private static final Logger LOG = System.getLogger(Succession.class.getName());
+    private static final long CHECK_NS = 5_000_000L;
+    /** So long the elder's state and discovery's list are waited for, then this one serves by what it has. */
+    private static final long JOIN_NS = 3_000_000_000L;
+    /** So long the elder may take to note that it has a successor. */
+    private static final long NOTE_NS = 1_000_000_000L;
+
+    private final PlatformNode node;
+    private final Link link;
+    private final Timer join = new Timer() {
+        @Override
+        protected void fire() {
+            join();
+        }
+    };
+    private boolean joined;
+    private boolean handedOver;
+    private long joinBy;
+
+    Succession(PlatformNode node, NodeConfig config) {
+        this.node = node;
+        String name = config.listen().getAddress().getHostAddress() + "-" + config.listen().getPort();
+        link = new Link(node.loop, config.state(), name, this);
+        joined = link.others() == 0;
+        joinBy = node.loop.now() + JOIN_NS;
+        if (!joined) {
+            LOG.log(Level.INFO, "takes over from another process of this node");
+            node.loop.timers.set(join, node.loop.now());
+        }
+    }
+
+    /** Whether this process is one that clients are sent to: the first, or one that its elder knows of. */
+    boolean joined() {
+        return joined;
+    }
+
+    private void join() {
+        long now = node.loop.now();
+        if (!node.listening() && (!link.unwelcomed() && node.held() || now >= joinBy)) {
+            try {
+                node.listen();
+                link.ready();
+                joinBy = now + NOTE_NS;
+            } catch (IOException e) { // an elder of a version, or a configuration, that does not share it
+                LOG.log(Level.WARNING, "cannot listen yet: " + e.getMessage());
+                joinBy = now + NOTE_NS;
+                node.loop.timers.set(join, joinBy);
+                return;
+            }
+        }
+        joined = node.listening() && (!link.unseen() || now >= joinBy);
+        if (!joined) {
+            node.loop.timers.set(join, now + CHECK_NS);
+        }
+    }
+
+    int processes() {
+        return 1 + link.others();
+    }
+
+    void tell(String call) {
+        link.call(call);
+    }
+
+    boolean pass(Slice event) {
+        return link.event(event.bytes(), event.from(), event.length());
+    }
+
+    /** At the end of this process: whether another takes the clients now. */
+    boolean handOver() {
+        node.loop.timers.cancel(join);
+        handedOver = link.successor();
+        return handedOver;
+    }
+
+    /** Whether clients are another process's: this one's health does not speak for the node. */
+    boolean handedOver() {
+        return handedOver;
+    }
+
+    void close() {
+        node.loop.timers.cancel(join);
+        link.close();
+    }
+
+    @Override
+    public Iterable<String> state() {
+        return node.standby() ? List.of("standby") : List.of();
+    }
+
+    @Override
+    public void call(String line) {
+        Door.answer(node, line);
+    }
+
+    @Override
+    public void event(ByteBuffer body) {
+        int from = body.arrayOffset() + body.position();
+        node.callbacks.passed(new Slice(body.array(), from, body.remaining()));
+    }
+
+    @Override
+    public void linked() {
+        node.share();
+        if (node.stopping() && handedOver != link.successor()) {
+            node.departAgain();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beechseam/platform/NodeRig.java
@@ -0,0 +1,116 @@
+package beechseam.platform;
+
+import beechseam.Loopback;
+import beechseam.Loopback.Peer;
+import beechseam.config.ConfigException;
+import beechseam.config.Json;
+import beechseam.config.NodeConfig;
+import beechseam.config.Tree;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.junit.jupiter.api.AfterEach;
+
+/** Stand-ins on loopback for all that a node talks to. */
+abstract class NodeRig {
+    static final String SETTINGS = """
+        {"Classes":[
+          {"Name":"safe","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"read_like","Worth":1},
+          {"Name":"once","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"non_idempotent","Worth":1},
+          {"Name":"keyed","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"idempotency_key",
+           "Group":"cell","WindowNs":30000000000,"Worth":1}],
+         "Limits":{"MaxAttempts":4,"Cancel":true,"RetryAfter":true,"MaxRetryAfterNs":1500000000,
+           "SecondCopies":false,"IdleCloseNs":60000000000,"ConnectTimeoutNs":250000000},
+         "Rules":{"DrainGraceNs":300000000,"StartCapacity":0.3,"ColdNs":1000000000,"OverloadFactor":3,
+           "OverloadForNs":1000000000},
+         "LoadInfo":{"How":"piggyback","Columns":["x0","outstanding"]},"Locality":"a","GroupSize":1,
+         "Specifics":{"ClassStretch":[10,10,10],"TellsStart":true,"ReportX0":"free slots"}}
+        """;
+
+    final Loopback net = new Loopback();
+    final List<Peer> discovery = new ArrayList<>();
+    final List<Peer> executor = new ArrayList<>();
+    final InetSocketAddress executorAt = net.standIn(executor);
+    final InetSocketAddress discoveryAt = net.standIn(discovery);
+
+    /** Where clients and executors find the node. */
+    abstract InetSocketAddress address() throws IOException;
+
+    NodeConfig config(InetSocketAddress discoveryAt, String more) throws IOException, ConfigException {
+        byte[] text = ("{\"name\":\"n\"," + more + "\"discovery\":\"127.0.0.1:"
+            + discoveryAt.getPort() + "\",\"console\":\"127.0.0.1:0\",\"seed\":\"1f\","
+            + "\"limits\":{\"sockets\":128},\"known\":"
+            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
+        return NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length)));
+    }
+
+    @AfterEach
+    @AfterProperty
+    void close() {
+        net.close();
+    }
+
+    String row(String state) {
+        return "{\"id\":\"s-0badcafe\",\"addr\":\"127.0.0.1:" + executorAt.getPort()
+            + "\",\"zone\":\"a\",\"kind\":\"k\",\"cell\":3,\"state\":\"" + state + "\",\"started_ms\":0}";
+    }
+
+    static String list(int version, String rows) {
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + rows + "]}";
+    }
+
+    static String answer(String status, String body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    Peer client() {
+        try {
+            return net.dial(address());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    Peer ask(String id, String jobClass, String left) {
+        return client().say("POST /" + jobClass + "/x?key=7 HTTP/1.1\r\nX-Correlation-Id: " + id
+            + "\r\nX-Service-Class: " + jobClass + "\r\nX-Time-Left: " + left
+            + "\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody");
+    }
+
+    void event(String id, String rest) {
+        String event = "{\"id\":\"" + id + "\"," + rest + "}";
+        Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+            + event.length() + "\r\n\r\n" + event);
+        net.until("the event's 204", () -> caller.heard().startsWith("HTTP/1.1 204"));
+    }
+
+    void done(String id, String result) {
+        event(id, "\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":\"" + result
+            + "\",\"load\":{\"x0\":3,\"inflight\":1}");
+    }
+
+    Peer hop(int connection, String id) {
+        net.until("the hop of " + id, () -> executor.size() > connection
+            && executor.get(connection).heard().contains("X-Correlation-Id: " + id) && whole(connection));
+        return executor.get(connection);
+    }
+
+    boolean whole(int connection) {
+        return executor.get(connection).heard().endsWith("\r\n\r\nbody");
+    }
+
+    String heard(Peer peer, String end) {
+        net.until("an answer", () -> peer.heard().endsWith(end));
+        return peer.take();
+    }
+
+    String operator(InetSocketAddress console, String call) {
+        Peer peer = net.dial(console).say(call + "\n");
+        net.until("the answer to " + call, () -> peer.gone);
+        return peer.heard();
+    }
+}
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -2,120 +2,34 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
-import beechseam.Loopback;
 import beechseam.Loopback.Peer;
 import beechseam.config.ConfigException;
-import beechseam.config.Json;
 import beechseam.config.NodeConfig;
-import beechseam.config.Tree;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import net.jqwik.api.lifecycle.AfterProperty;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** A whole node on loopback, with stand-ins for discovery, executors and clients. */
-class PlatformNodeTest {
-    private static final String SETTINGS = """
-        {"Classes":[
-          {"Name":"safe","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"read_like","Worth":1},
-          {"Name":"once","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"non_idempotent","Worth":1},
-          {"Name":"keyed","AimNs":100000000,"DeadlineNs":60000000000,"Effect":"idempotency_key",
-           "Group":"cell","WindowNs":30000000000,"Worth":1}],
-         "Limits":{"MaxAttempts":4,"Cancel":true,"RetryAfter":true,"MaxRetryAfterNs":1500000000,
-           "SecondCopies":false,"IdleCloseNs":60000000000,"ConnectTimeoutNs":250000000},
-         "Rules":{"DrainGraceNs":300000000,"StartCapacity":0.3,"ColdNs":1000000000,"OverloadFactor":3,
-           "OverloadForNs":1000000000},
-         "LoadInfo":{"How":"piggyback","Columns":["x0","outstanding"]},"Locality":"a","GroupSize":1,
-         "Specifics":{"ClassStretch":[10,10,10],"TellsStart":true,"ReportX0":"free slots"}}
-        """;
+class PlatformNodeTest extends NodeRig {
+    private static final String LISTEN = "\"listen\":\"127.0.0.1:0\",";
 
-    private final Loopback net = new Loopback();
-    private final List<Peer> discovery = new ArrayList<>();
-    private final List<Peer> executor = new ArrayList<>();
-    private final InetSocketAddress executorAt = net.standIn(executor);
     private final PlatformNode node;
     private boolean stopped;
 
     PlatformNodeTest() throws IOException, ConfigException {
-        node = new PlatformNode(net.loop, config(net.standIn(discovery)));
+        node = new PlatformNode(net.loop, config(discoveryAt, LISTEN));
     }
 
-    private NodeConfig config(InetSocketAddress discoveryAt) throws IOException, ConfigException {
-        byte[] text = ("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-            + discoveryAt.getPort() + "\",\"console\":\"127.0.0.1:0\",\"seed\":\"1f\","
-            + "\"limits\":{\"sockets\":128},\"known\":"
-            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
-        return NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length)));
-    }
-
-    @AfterEach
-    @AfterProperty
-    void close() {
-        net.close();
-    }
-
-    private String row(String state) {
-        return "{\"id\":\"s-0badcafe\",\"addr\":\"127.0.0.1:" + executorAt.getPort()
-            + "\",\"zone\":\"a\",\"kind\":\"k\",\"cell\":3,\"state\":\"" + state + "\",\"started_ms\":0}";
-    }
-
-    private static String list(int version, String rows) {
-        return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + rows + "]}";
-    }
-
-    private static String answer(String status, String body) {
-        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
-    private Peer client() {
-        try {
-            return net.dial(node.address());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private Peer ask(String id, String jobClass, String left) {
-        return client().say("POST /" + jobClass + "/x?key=7 HTTP/1.1\r\nX-Correlation-Id: " + id
-            + "\r\nX-Service-Class: " + jobClass + "\r\nX-Time-Left: " + left
-            + "\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody");
-    }
-
-    private void event(String id, String rest) {
-        String event = "{\"id\":\"" + id + "\"," + rest + "}";
-        Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nConnection: close\r\nContent-Length: "
-            + event.length() + "\r\n\r\n" + event);
-        net.until("the event's 204", () -> caller.heard().startsWith("HTTP/1.1 204"));
-    }
-
-    private void done(String id, String result) {
-        event(id, "\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":\"" + result
-            + "\",\"load\":{\"x0\":3,\"inflight\":1}");
-    }
-
-    private Peer hop(int connection, String id) {
-        net.until("the hop of " + id, () -> executor.size() > connection
-            && executor.get(connection).heard().contains("X-Correlation-Id: " + id) && whole(connection));
-        return executor.get(connection);
-    }
-
-    private boolean whole(int connection) {
-        return executor.get(connection).heard().endsWith("\r\n\r\nbody");
-    }
-
-    private String heard(Peer peer, String end) {
-        net.until("an answer", () -> peer.heard().endsWith(end));
-        return peer.take();
+    @Override
+    InetSocketAddress address() throws IOException {
+        return node.address();
     }
 
     @Test
@@ -301,7 +215,7 @@
         discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
         net.until("the watch", () -> discovery.get(0).heard().contains("after=41&"));
         List<Peer> moved = new ArrayList<>();
-        NodeConfig next = config(net.standIn(moved));
+        NodeConfig next = config(net.standIn(moved), LISTEN);
         node.reload(next);
         net.until("the old line's end", () -> discovery.get(0).gone);
         net.until("a request there", () -> moved.size() == 1 && moved.get(0).heard().endsWith("\r\n\r\n"));
@@ -482,10 +396,10 @@
         Peer idle = client().say("GET /_health HTTP/1.1\r\n\r\n");
         heard(idle, "ready\n");
         Peer silent = client();
-        assertEquals("OK\n", operator("standby"));
-        assertEquals("OK\n", operator("standby"), "said again it changes nothing");
+        assertEquals("OK\n", operator(node.console(), "standby"));
+        assertEquals("OK\n", operator(node.console(), "standby"), "said again it changes nothing");
         long start = System.nanoTime();
-        assertEquals("ERR standby\n", operator("status"));
+        assertEquals("ERR standby\n", operator(node.console(), "status"));
         Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
         net.until("an answer", () -> health.heard().startsWith("HTTP/1.1 503"));
         Peer second = ask("c2", "once", "30000m"); // the front sends new clients for a moment more
@@ -501,20 +415,14 @@
         assertFalse(caller.gone, "a connection of call-backs is no client's");
         done("c1", "one");
         heard(early, "one");
-        assertEquals("OK\n", operator("active"));
-        assertEquals("OK\n", operator("status"));
+        assertEquals("OK\n", operator(node.console(), "active"));
+        assertEquals("OK\n", operator(node.console(), "status"));
         Peer back = ask("c4", "once", "30000m");
         hop(0, "c4");
         done("c4", "four");
         assertFalse(heard(back, "four").contains("Connection: close"));
     }
 
-    private String operator(String call) throws IOException {
-        Peer peer = net.dial(node.console()).say(call + "\n");
-        net.until("the answer to " + call, () -> peer.gone);
-        return peer.heard();
-    }
-
     /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
     @Test
     void connectionsAreBoundedOnTheIngressSide() {
