Figures: stats tells jobs by class, current, and the cluster's size and health

Lines at fault: Counters summed over classes and counted a hop when the module decides; EgressConnection told nobody of the last byte. Also: a test of maintenance hung on the first second's ban on warming; it asks until served now.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -904,7 +904,7 @@
         int ready = 0;
         for (Member m : members.values()) {
             ready += m.usable() ? 1 : 0;
-            doubted += m.usable() && doubt(m) > 2 ? 1 : 0;
+            doubted += avoids(m) ? 1 : 0;
         }
         if (doubted > 0 || refused > 0 || failed > 0) {
             loggedAt = now;
@@ -915,6 +915,17 @@
         }
     }
 
+    private boolean avoids(Member m) {
+        return m.usable() && doubt(m) > 2;
+    }
+
+    /** Whether the worker is passed over for its doubt, as a rule; for the host to tell. */
+    public boolean avoids(long at, long worker) {
+        now = at;
+        Member m = members.get(worker);
+        return m != null && avoids(m);
+    }
+
     // ---- Membership
 
     @Override
--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -89,7 +89,7 @@
         try {
             platform.reload(NodeConfig.reload(environment));
         } catch (ConfigException e) {
-            LOG.log(Level.ERROR, "reload: the old configuration stays: " + e.getMessage());
+            platform.refuseReload(e.getMessage());
         }
     }
 }
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -62,6 +62,11 @@
         return clock.getAsLong();
     }
 
+    /** Listed targets that get nothing new, or that the module doubts. */
+    public long avoided() {
+        return routes.ids().stream().filter(id -> !routes.serving(id) || module.avoids(now(), id)).count();
+    }
+
     /** Requests that owe an answer or still have a hop out. */
     public int open() {
         return byId.size();
@@ -152,7 +157,7 @@
             }
         }
         if (!r.finished) { // the module would still wait, but the client does not
-            counters.failed++;
+            counters.of(r.jobClass).failed++;
             finish(r);
             r.ingress.failed(r, cut ? "the node is stopping" : "no answer in time");
             module.left(now(), r.id);
@@ -207,7 +212,7 @@
             timers.cancel(hop.timeout);
         }
         if (outcome == Outcome.SERVED && !r.finished) {
-            counters.served++;
+            counters.of(r.jobClass).served++;
             finish(r);
             r.ingress.served(r, result);
         }
@@ -276,7 +281,7 @@
         public void refuse(long job, long pauseNs) {
             Request r = byId.get(job);
             if (r != null && !r.finished) {
-                counters.shed++;
+                counters.of(r.jobClass).shed++;
                 finish(r);
                 r.ingress.shed(r, pauseNs);
                 forget(r);
@@ -287,7 +292,7 @@
         public void fail(long job) {
             Request r = byId.get(job);
             if (r != null && !r.finished) {
-                counters.failed++;
+                counters.of(r.jobClass).failed++;
                 finish(r);
                 r.ingress.failed(r, "it could not be done");
                 forget(r);
--- a/src/main/java/beechseam/core/RouteTable.java
+++ b/src/main/java/beechseam/core/RouteTable.java
@@ -65,6 +65,10 @@
         return rows.containsKey(target);
     }
 
+    Set<Long> ids() {
+        return rows.keySet();
+    }
+
     public int size() {
         return rows.size();
     }
--- a/src/main/java/beechseam/ops/Door.java
+++ b/src/main/java/beechseam/ops/Door.java
@@ -16,7 +16,8 @@
 
 /** The door for operators: a connection brings one line, gets one answer and is closed. */
 public final class Door {
-    private static final List<String> CALLS = List.of("status", "maint-on", "maint-off", "standby", "active");
+    private static final List<String> CALLS = List.of("status", "stats", "maint-on", "maint-off", "standby",
+        "active");
     private static final int MOST_CALLERS = 16;
     private static final int MOST_LINE = 512;
     /** A call comes whole in this time, and so long its answer may wait to be taken. */
@@ -60,6 +61,7 @@
         }
         return switch (words[0]) {
             case "status" -> said(operations.status());
+            case "stats" -> operations.stats() + "END\n";
             case "maint-on" -> said(operations.maintenance(words[1], true));
             case "maint-off" -> said(operations.maintenance(words[1], false));
             case "standby" -> said(operations.standby(true));
--- a/src/main/java/beechseam/ops/Operations.java
+++ b/src/main/java/beechseam/ops/Operations.java
@@ -5,6 +5,9 @@
     /** Done when clients are served by this process. */
     String status();
 
+    /** The figures, a line each. */
+    String stats();
+
     /** Leaves an executor out, or lets it serve again. */
     String maintenance(String id, boolean out);
 
--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -20,6 +20,7 @@
     };
     private Exchange now;
     private boolean begun;
+    private boolean whole;
     /** How long it had stood idle before the exchange under way; 0 for its first. */
     private long stoodIdleNs;
 
@@ -58,10 +59,20 @@
             return;
         }
         begun = true;
+        whole = false;
         now.connection = this;
         write(now.bytes());
     }
 
+    /** All that waited has been written: the exchange under way, if it has begun, is out to its last byte. */
+    @Override
+    protected void written() {
+        if (now != null && begun && !whole) {
+            whole = true;
+            now.written();
+        }
+    }
+
     @Override
     protected void received(ByteBuffer in) {
         try {
@@ -86,8 +97,7 @@
         Exchange done = now;
         now = null;
         done.connection = null;
-        boolean whole = unwritten() == 0;
-        if (parser.keepAlive() && !parser.untilClose() && whole) {
+        if (parser.keepAlive() && !parser.untilClose() && unwritten() == 0) {
             pool.idle(this);
         } else {
             close();
--- a/src/main/java/beechseam/platform/Exchange.java
+++ b/src/main/java/beechseam/platform/Exchange.java
@@ -13,6 +13,10 @@
 
     abstract ByteBuffer bytes();
 
+    /** Its last byte has gone. */
+    void written() {
+    }
+
     abstract void answered(HttpParser answer);
 
     /** No answer will come. */
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -89,7 +89,7 @@
         } else if (key == null ? keyed(jobClass) : !key.isVisible()) {
             bad(400, "Idempotency-Key is missing or malformed");
         } else if (node.crowded() || node.shedding()) {
-            turnAway();
+            turnAway(jobClass);
         } else {
             take(m, jobClass, id, budget, key);
         }
@@ -108,8 +108,8 @@
     }
 
     /** Shed before the module has seen it: nothing of it has been sent. */
-    private void turnAway() {
-        node.counters.crowdedOut++;
+    private void turnAway(int jobClass) {
+        node.counters.of(jobClass).crowdedOut++;
         Limits limits = node.options.settings.limits();
         refuse(limits.retryAfter() ? limits.maxRetryAfterNs() : 0);
     }
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -96,6 +96,11 @@
                 m.headers() + "X-Time-Left: " + leftMs + "m\r\n", m.body());
         }
 
+        @Override
+        void written() {
+            engine.counters().of(hop.request.jobClass).written++;
+        }
+
         @Override
         void answered(HttpParser answer) {
             int status = answer.status();
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -48,6 +48,7 @@
     final Engine engine;
     final Callbacks callbacks;
     final Maintenance maintenance;
+    private final Figures figures;
     private final EgressPool pool;
     private final Discovery discovery;
     private final Door door;
@@ -81,6 +82,8 @@
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
+        figures = new Figures(engine, options.settings.classes());
+        counters.confLoaded++;
         callbacks = new Callbacks(engine, options, this::elsewhere);
         boolean keeps = config.console() != null && config.state() != null;
         maintenance = new Maintenance(engine, keeps ? new Kept(config.state(), config.address()) : null);
@@ -143,10 +146,17 @@
                 "reload: a new name, listen, console or settings counts from the next start");
         }
         config = next;
+        counters.confLoaded++;
         share();
         LOG.log(Level.INFO, "reload: done");
     }
 
+    /** A new configuration that cannot be used: the old one stays. */
+    public void refuseReload(String why) {
+        counters.confInvalid++;
+        LOG.log(Level.ERROR, "reload: the old configuration stays: " + why);
+    }
+
     public InetSocketAddress address() throws IOException {
         return listener.address();
     }
@@ -243,6 +253,11 @@
         return !stopping && departure != Departure.NONE;
     }
 
+    @Override
+    public String stats() {
+        return figures.lines();
+    }
+
     @Override
     public String maintenance(String id, boolean out) {
         boolean told = succession != null && succession.told();
--- a/src/test/java/beechseam/gearman/GearmanTest.java
+++ b/src/test/java/beechseam/gearman/GearmanTest.java
@@ -240,7 +240,7 @@
         asking.expect("WORK_EXCEPTION " + a + " busy: retry after 1.500 s").expect("WORK_FAIL " + a)
             .nothing();
         plain.expect("WORK_FAIL " + b).nothing();
-        assertEquals(2, server.counters().shed);
+        assertEquals(2, server.counters().shed());
     }
 
     /** The worker keeps silent: the client has its answer, and what comes later is nobody's. */
@@ -291,7 +291,7 @@
         worker.say(Packet.WORK_COMPLETE, first, "").say(Packet.GRAB_JOB);
         assertEquals(second, worker.next("JOB_ASSIGN").split(" ")[0]);
         worker.say(Packet.WORK_FAIL, second).sync();
-        assertEquals(1, server.counters().served);
+        assertEquals(1, server.counters().served());
     }
 
     @Test
--- a/src/test/java/beechseam/ops/DoorTest.java
+++ b/src/test/java/beechseam/ops/DoorTest.java
@@ -26,6 +26,12 @@
             return "not yet";
         }
 
+        @Override
+        public String stats() {
+            asked.add("stats");
+            return "svc.current=1\n";
+        }
+
         @Override
         public String maintenance(String id, boolean out) {
             asked.add((out ? "maint-on " : "maint-off ") + id);
@@ -60,8 +66,8 @@
     @Property(seed = "11", tries = 60)
     void anyCutOfACallIsUnderstood(@ForAll long seed) {
         Random random = new Random(seed);
-        String[] calls = {"status", "standby", "active", "maint-on s-1", "maint-off s-1", "status now", "",
-            "STATUS", "x".repeat(600), "\0\u00ff", "maint-on", "maint-off s-1 s-2"};
+        String[] calls = {"status", "standby", "active", "stats", "maint-on s-1", "maint-off s-1",
+            "status now", "", "STATUS", "x".repeat(600), "\0\u00ff", "maint-on", "maint-off s-1 s-2"};
         int pick = random.nextInt(calls.length);
         String line = calls[pick] + (random.nextBoolean() ? " " : "") + (random.nextBoolean() ? "\r\n" : "\n")
             + (random.nextInt(4) == 0 ? "active\n" : "");
@@ -74,9 +80,10 @@
             net.settle(from < 20 && random.nextBoolean() ? 1 : 0);
         }
         net.until("the end", () -> peer.gone);
-        assertEquals(pick == 0 ? "ERR not yet\n" : "OK\n", pick < 5 ? peer.heard() : "OK\n");
-        assertTrue(pick < 5 || peer.heard().matches("ERR [^\n]+\n"), peer.heard());
-        assertEquals(pick < 5 ? List.of(calls[pick]) : List.of(), asked, "one call, and only a proper one");
+        String right = pick == 0 ? "ERR not yet\n" : pick == 3 ? "svc.current=1\nEND\n" : "OK\n";
+        assertEquals(right, pick < 6 ? peer.heard() : right);
+        assertTrue(pick < 6 || peer.heard().matches("ERR [^\n]+\n"), peer.heard());
+        assertEquals(pick < 6 ? List.of(calls[pick]) : List.of(), asked, "one call, and only a proper one");
     }
 
     /** Callers that connect and never finish must not keep the next one waiting. */
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -49,7 +49,7 @@
         done("c1", "again");
         event("c9", "\"from\":\"s-0badcafe\",\"state\":\"done\"");
         assertEquals(2, node.counters.lateCallbacks);
-        assertEquals(1, node.counters.served);
+        assertEquals(1, node.counters.served());
     }
 
     /** Call-backs may overtake the 202; the connection is used on once that has come. */
@@ -338,7 +338,7 @@
         Peer next = ask("next", "once", "30000m");
         net.until("taken again", () -> node.counters.taken == 30);
         assertFalse(next.gone);
-        assertEquals(1, node.counters.crowdedOut);
+        assertEquals(1, node.counters.crowdedOut());
     }
 
     /** A client that asks and asks and reads nothing: its answers must not fill the heap. */
@@ -423,6 +423,44 @@
         assertFalse(heard(back, "four").contains("Connection: close"));
     }
 
+    /** Each job in one figure, a hop once its last byte is out; what is answered is not current. */
+    @Test
+    void theFiguresTellWhatHasCrossedTheSockets() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            ask("c" + i, "once", "30000m"); // the module decides on ten, and six connections carry one each
+        }
+        net.until("hops on all connections", () -> node.counters.sent == 10 && executor.size() == 6
+            && executor.stream().allMatch(each -> each.heard().endsWith("body")));
+        assertEquals(List.of("0", "0", "0", "6", "10", "1", "0"), figures("once"));
+        done("c0", "r");
+        event("c1", "\"from\":\"s-0badcafe\",\"state\":\"failed\"");
+        assertEquals(List.of("1", "0", "1", "6", "8", "1", "0"), figures("once"));
+        executor.get(0).say(answer("202 Accepted", "")); // it is free for a hop that waited
+        net.until("the next hop out", () -> figures("once").get(3).equals("7"));
+        client().say("POST /once HTTP/1.1\r\nX-Service-Class: once\r\nContent-Length: 0\r\n\r\n");
+        net.until("no request of a class", () -> node.counters.badInput == 1);
+        operator(node.console(), "maint-on s-0badcafe");
+        assertEquals(List.of("1", "0", "1", "7", "8", "1", "1"), figures("once"));
+        operator(node.console(), "standby");
+        net.until("the time to shed", node::shedding);
+        Peer late = ask("late", "safe", "30000m");
+        net.until("shed", () -> late.gone);
+        assertEquals(List.of("0", "1", "0", "0"), figures("safe").subList(0, 4));
+    }
+
+    /** Of one class answered, deferred, errored, sends; then current, size and unhealthy of the cluster. */
+    private List<String> figures(String jobClass) {
+        try {
+            String all = operator(node.console(), "stats");
+            assertTrue(all.endsWith("\nsvc.conf_loaded=1\nsvc.conf_invalid=0\nEND\n"), all);
+            String of = "svc.transactions." + jobClass + ".";
+            return all.lines().filter(each -> each.startsWith(of) || each.matches("svc.cu.*|svc.cl.*"))
+                .map(each -> each.replaceAll(".*=", "")).toList();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** From the OK on nothing new goes there, whatever is listed; put back it is used, as a cold target. */
     @Test
     void anExecutorInMaintenanceGetsNothingUntilItIsPutBack() throws Exception {
@@ -446,12 +484,18 @@
             done("c" + i, "r");
         }
         executor.forEach(Peer::take);
-        ask("late", "safe", "30000m");
-        net.settle(50);
+        Peer late = ask("late", "safe", "30000m");
+        net.until("shed", () -> late.heard().startsWith("HTTP/1.1 503"));
         assertTrue(executor.stream().allMatch(each -> each.heard().isEmpty()));
         assertEquals("OK\n", operator(node.console(), "maint-off s-0badcafe"));
         assertEquals("OK\n", operator(node.console(), "maint-off s-0badcafe"));
-        net.until("used again", () -> executor.stream().anyMatch(each -> each.heard().contains("late")));
+        List<Peer> again = new ArrayList<>();
+        net.until("used again", () -> { // a new node warms nobody in its first second, and sheds till then
+            if (again.isEmpty() || !again.get(again.size() - 1).heard().isEmpty()) {
+                again.add(ask("a" + again.size(), "safe", "30000m"));
+            }
+            return executor.stream().anyMatch(each -> each.heard().contains("X-Correlation-Id: a"));
+        });
     }
 
     /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
@@ -510,9 +554,10 @@
             String heard = each.heard();
             assertEquals(heard.lastIndexOf("HTTP/1.1 "), heard.isEmpty() ? -1 : 0, "one answer: " + heard);
         }
-        assertEquals(node.counters.taken, node.counters.served + node.counters.shed + node.counters.failed
-            + node.counters.left);
+        assertEquals(node.counters.taken, node.counters.served() + node.counters.shed()
+            + node.counters.failed() + node.counters.left);
         assertTrue(node.counters.left <= left);
+        assertEquals(0, node.counters.current());
         assertEquals(0, node.counters.faults);
     }
 }
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -215,6 +215,6 @@
     }
 
     private static long answers(Counters c) {
-        return c.served + c.shed + c.failed + c.crowdedOut;
+        return c.served() + c.shed() + c.failed() + c.crowdedOut();
     }
 }
--- a/src/test/java/beechseam/servlet/DispatchFilterTest.java
+++ b/src/test/java/beechseam/servlet/DispatchFilterTest.java
@@ -100,7 +100,7 @@
         engine.ended(hops.get(0), Outcome.SERVED, "done".getBytes(), null);
         assertEquals(200, response.getStatus());
         assertEquals("done", response.getContentAsString());
-        assertEquals(1, counters.served);
+        assertEquals(1, counters.served());
     }
 
     @Test
