The younger process takes over what the elder's module has learned

Lines at fault: Dispatcher started with the aim as run time and every worker alike. Left out of the hand-over since then: the probe lag and mean worth, learnt within a second.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import beechseam.Dispatching.*;
 
 /**
@@ -97,6 +98,11 @@
     private static final class Speed {
         double log, runs;
 
+        void set(double theLog, double theRuns) {
+            log = theLog;
+            runs = theRuns;
+        }
+
         void add(double value) {
             runs++;
             log += Math.max(-PI_CLIP, Math.min(PI_CLIP, value - log)) * Math.max(PI_GAIN, 1 / (runs + 1));
@@ -992,6 +998,73 @@
         actions.watchList();
     }
 
+    // ---- What was learned, for a dispatcher that takes this one's place
+
+    /** Figures by what they are of: run times, speeds, slots, usual loads and doubts. */
+    public Map<String, double[]> learned(long at) {
+        now = at;
+        Map<String, double[]> all = new LinkedHashMap<>();
+        all.put("", new double[] {meanNeed, meanRunNs, runs, othersMean, reportGapNs, startLagNs, waitErrorNs,
+            lateStarts, everReported ? 1 : 0});
+        for (ClassStats s : stats) {
+            all.put("class " + s.of.name(),
+                new double[] {s.logRun, s.meanRunNs, s.runs, s.meanNeed, s.longestBudgetNs});
+        }
+        kinds.forEach((name, k) -> all.put("kind " + name, new double[] {k.log, k.runs}));
+        for (Member m : members.values()) { // to another dispatcher what is out from here is others' load
+            all.put("worker " + m.info.id(), new double[] {m.speed.log, m.speed.runs, m.slotsSeen, m.reports,
+                m.others + m.own, doubt(m)});
+        }
+        return all;
+    }
+
+    /** Takes over what another dispatcher has learned; what it lacks, or has otherwise, stays as it is. */
+    public void recall(long at, Map<String, double[]> learned) {
+        now = at;
+        take(learned, "", 9, v -> {
+            meanNeed = v[0];
+            meanRunNs = v[1];
+            runs = v[2];
+            othersMean = v[3];
+            reportGapNs = v[4];
+            startLagNs = v[5];
+            waitErrorNs = v[6];
+            lateStarts = v[7];
+            lateAt = now;
+            everReported |= v[8] > 0;
+        });
+        for (ClassStats s : stats) {
+            take(learned, "class " + s.of.name(), 5, v -> {
+                s.logRun = v[0];
+                s.meanRunNs = v[1];
+                s.runs = v[2];
+                s.meanNeed = v[3];
+                s.longestBudgetNs = v[4];
+            });
+        }
+        kinds.forEach((name, k) -> take(learned, "kind " + name, 2, v -> k.set(v[0], v[1])));
+        for (Member m : members.values()) {
+            take(learned, "worker " + m.info.id(), 6, v -> {
+                m.speed.set(v[0], v[1]);
+                m.slotsSeen = v[2];
+                m.reports = v[3];
+                m.slotsKnown = v[3] > 0;
+                m.slots = m.slotsKnown ? Math.max(1, Math.rint(v[2])) : m.slots;
+                m.others = v[4];
+                m.reportAt = now;
+                doubt(m, v[5]);
+            });
+        }
+        refreshIndices(0);
+    }
+
+    private static void take(Map<String, double[]> all, String name, int length, Consumer<double[]> taker) {
+        double[] figures = all.get(name);
+        if (figures != null && figures.length == length) {
+            taker.accept(figures);
+        }
+    }
+
     // ---- Probes
 
     /** Asks a worker for its load, unless that is under way or spent; true when an answer is to come. */
--- a/src/main/java/beechseam/config/Json.java
+++ b/src/main/java/beechseam/config/Json.java
@@ -1,7 +1,9 @@
 package beechseam.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +27,20 @@
         }
     }
 
+    /** Lists of figures by name. */
+    public static byte[] bytes(Map<String, double[]> lists) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = FACTORY.createGenerator(out)) {
+            json.writeStartObject();
+            for (Map.Entry<String, double[]> each : lists.entrySet()) {
+                json.writeFieldName(each.getKey());
+                json.writeArray(each.getValue(), 0, each.getValue().length);
+            }
+            json.writeEndObject();
+        }
+        return out.toByteArray();
+    }
+
     /** The value at the parser. */
     public static Object tree(JsonParser in) throws IOException {
         switch (in.currentToken()) {
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -240,6 +240,18 @@
         }
     }
 
+    // ---- Between the processes of one node
+
+    /** What the module has learned, by what it is of. */
+    public Map<String, double[]> learned() {
+        return module.learned(now());
+    }
+
+    /** Takes over what the module of an older process had learned. */
+    public void recall(Map<String, double[]> learned) {
+        tell(() -> module.recall(now(), learned));
+    }
+
     // ---- What the module decides
 
     private final class Doing implements Actions {
--- a/src/main/java/beechseam/ops/Link.java
+++ b/src/main/java/beechseam/ops/Link.java
@@ -28,6 +28,12 @@
         /** Operators' calls that bring a younger process to this one's state. */
         Iterable<String> state();
 
+        /** What this process has learned, in pieces that each fit a frame. */
+        Iterable<byte[]> learned();
+
+        /** A piece of what an older process had learned; void after the call. */
+        void recall(ByteBuffer piece);
+
         /** A call that was made at the other process. */
         void call(String line);
 
@@ -38,7 +44,7 @@
         void linked();
     }
 
-    private enum Kind { WELCOME, READY, SEEN, CALL, EVENT }
+    private enum Kind { LEARNED, WELCOME, READY, SEEN, CALL, EVENT }
 
     private static final Logger LOG = System.getLogger(Link.class.getName());
     private static final int MOST_FRAME = 128 * 1024;
@@ -144,6 +150,7 @@
             lines.add(this);
             if (!elder) {
                 process.state().forEach(each -> send(Kind.CALL, each));
+                process.learned().forEach(each -> send(Kind.LEARNED, each, 0, each.length));
                 send(Kind.WELCOME);
                 process.linked();
             }
@@ -183,6 +190,7 @@
 
         private void frame(Kind kind, ByteBuffer body) {
             switch (kind) {
+                case LEARNED -> process.recall(body);
                 case WELCOME -> welcomed = true;
                 case READY -> {
                     ready = true;
--- a/src/main/java/beechseam/platform/Succession.java
+++ b/src/main/java/beechseam/platform/Succession.java
@@ -1,5 +1,6 @@
 package beechseam.platform;
 
+import beechseam.config.Json;
 import beechseam.config.NodeConfig;
 import beechseam.core.Timer;
 import beechseam.http.Slice;
@@ -9,7 +10,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** One node of two processes: how the younger joins, and when the elder may hand over to it. */
 final class Succession implements Link.Process {
@@ -20,6 +24,9 @@
     /** So long the elder may take to note that it has a successor. */
     private static final long NOTE_NS = 1_000_000_000L;
 
+    /** So many figures' names go into one frame. */
+    private static final int PIECE = 256;
+
     private final PlatformNode node;
     private final Link link;
     private final Timer join = new Timer() {
@@ -112,6 +119,49 @@
         return node.standby() ? List.of("standby") : List.of();
     }
 
+    @Override
+    public Iterable<byte[]> learned() {
+        List<byte[]> pieces = new ArrayList<>();
+        Map<String, double[]> piece = new LinkedHashMap<>();
+        for (Map.Entry<String, double[]> each : node.engine.learned().entrySet()) {
+            piece.put(each.getKey(), each.getValue());
+            if (piece.size() == PIECE) {
+                add(pieces, piece);
+            }
+        }
+        add(pieces, piece);
+        return pieces;
+    }
+
+    private static void add(List<byte[]> pieces, Map<String, double[]> piece) {
+        try {
+            pieces.add(Json.bytes(piece));
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "what was learned cannot be told: " + e.getMessage());
+        }
+        piece.clear();
+    }
+
+    @Override
+    public void recall(ByteBuffer piece) {
+        Map<String, double[]> learned = new LinkedHashMap<>();
+        try {
+            int from = piece.arrayOffset() + piece.position();
+            if (Json.parse(piece.array(), from, piece.remaining()) instanceof Map<?, ?> map) {
+                map.forEach((name, list) -> learned.put((String) name, figures(list)));
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "what the other process had learned cannot be read: " + e.getMessage());
+        }
+        node.engine.recall(learned);
+    }
+
+    /** The list's figures; none where it is no such list. */
+    private static double[] figures(Object list) {
+        return list instanceof List<?> all && all.stream().allMatch(each -> each instanceof Number)
+            ? all.stream().mapToDouble(each -> ((Number) each).doubleValue()).toArray() : new double[0];
+    }
+
     @Override
     public void call(String line) {
         told = true;
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import beechseam.Dispatching.*;
 import org.junit.jupiter.api.Test;
@@ -574,6 +575,33 @@
         assertNotEquals(0, rig.job(100), "what was told is old: the worker may be tried");
     }
 
+    /** A successor must not learn anew which worker is slow, doubted or full; odd figures are passed over. */
+    @Test
+    void aSuccessorKnowsWhatItsElderLearned() {
+        Rig elder = new Rig(Rig.settings(SAFE)).workers(3);
+        for (int i = 1; i <= 60; i++) {
+            long at = elder.job(i);
+            elder.run(i, at == 1 ? 20 * MS : 120 * MS, Rig.load(1, 0, 3));
+        }
+        Rig fresh = new Rig(Rig.settings(SAFE)).workers(3);
+        Rig younger = new Rig(Rig.settings(SAFE)).workers(3);
+        Map<String, double[]> learned = elder.module.learned(elder.now);
+        learned.put("class c2", new double[] {1});
+        learned.put("worker 2", new double[] {1, 2});
+        learned.put("worker 99", new double[6]);
+        younger.module.recall(younger.now, learned);
+        long[] toFast = new long[2];
+        for (int i = 1; i <= 6; i++) {
+            toFast[0] += fresh.job(i) == 1 ? 1 : 0;
+            toFast[1] += younger.job(i) == 1 ? 1 : 0;
+        }
+        assertTrue(toFast[1] > toFast[0], toFast[1] + " of 6 where a fresh one sends " + toFast[0]);
+        Map<String, double[]> before = elder.module.learned(elder.now);
+        String row = "worker " + elder.job(100);
+        double[] after = elder.module.learned(elder.now).get(row);
+        assertEquals(before.get(row)[4] + 1, after[4], 1e-9, "its own hop is others' load to another");
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -154,6 +154,22 @@
         net.until("a third, told at its start", third::standby);
     }
 
+    /** The younger starts with the elder's figures, in as many pieces as they need. */
+    @Test
+    void whatTheElderHasLearnedComesWithItsWelcome() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            Peer client = ask("c" + i, "safe", "30000m");
+            hop(0, "c" + i).say(answer("202 Accepted", ""));
+            executor.get(0).take();
+            event("c" + i, "\"from\":\"s-0badcafe\",\"state\":\"started\"");
+            done("c" + i, "r");
+            heard(client, "r");
+        }
+        double[] learned = elder.engine.learned().get("class safe");
+        assertEquals(5, learned[2]);
+        assertArrayEquals(learned, successor().engine.learned().get("class safe"));
+    }
+
     /** A ban holds through an upgrade and a kill, and either process may be told. */
     @Test
     void maintenanceHoldsForBothProcessesAndTheNext() throws Exception {
