The right to warm cold targets goes to the younger process with its record

A trace twice a second showed a new process with jobs waiting and idle cold targets for just its first 2 s: 70 of its first 72 refusals fell there. Lines at fault: Dispatcher.coldBudgetAllows, 'now - bornAt < span', right for a restart only. Ruled out: the mean of others' load (0.4 to 0.6 throughout), the wait error handed over (0), doubts (none). No longer handed over: wait error and late starts, which are of the moment.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -76,7 +77,6 @@
     private final Rules rules;
     private final Actions actions;
     private final Random random;
-    private final long bornAt;
     private final long tickNs;
     private final long minAimNs;
     private final Map<Long, Member> members = new LinkedHashMap<>();
@@ -87,7 +87,7 @@
     private final List<Member> near = new ArrayList<>(), far = new ArrayList<>(), colds = new ArrayList<>();
     private final ClassStats[] stats;
 
-    private long now;
+    private long now, bornAt;
     private boolean ticking, listFailed, everReported, tableOld = true;
     private double piMin = 1, meanNeed = 1, meanRunNs, runs = 3, meanWorth, othersMean, reportGapNs;
     private double startLagNs, probeLagNs, waitErrorNs, lateStarts, repeats = 1, probes = Double.MAX_VALUE;
@@ -906,12 +906,8 @@
         if (now - loggedAt < LOG_GAP_NS) {
             return;
         }
-        int doubted = 0;
-        int ready = 0;
-        for (Member m : members.values()) {
-            ready += m.usable() ? 1 : 0;
-            doubted += avoids(m) ? 1 : 0;
-        }
+        long doubted = members.values().stream().filter(this::avoids).count();
+        long ready = members.values().stream().filter(Member::usable).count();
         if (doubted > 0 || refused > 0 || failed > 0) {
             loggedAt = now;
             actions.log("ready " + ready + " doubted " + doubted + " waiting " + waiting.size()
@@ -1000,12 +996,12 @@
 
     // ---- What was learned, for a dispatcher that takes this one's place
 
-    /** Figures by what they are of: run times, speeds, slots, usual loads and doubts. */
-    public Map<String, double[]> learned(long at) {
-        now = at;
+    /** What was learned, by name. With what cold workers were sent goes, for a span, the right to send. */
+    public Map<String, double[]> handOver(long at) {
+        now = bornAt = at;
         Map<String, double[]> all = new LinkedHashMap<>();
-        all.put("", new double[] {meanNeed, meanRunNs, runs, othersMean, reportGapNs, startLagNs, waitErrorNs,
-            lateStarts, everReported ? 1 : 0});
+        double told = everReported ? 1 : 0;
+        all.put("", new double[] {meanRunNs, runs, othersMean, reportGapNs, startLagNs, told});
         for (ClassStats s : stats) {
             all.put("class " + s.of.name(),
                 new double[] {s.logRun, s.meanRunNs, s.runs, s.meanNeed, s.longestBudgetNs});
@@ -1014,24 +1010,22 @@
         for (Member m : members.values()) { // to another dispatcher what is out from here is others' load
             all.put("worker " + m.info.id(), new double[] {m.speed.log, m.speed.runs, m.slotsSeen, m.reports,
                 m.others + m.own, doubt(m)});
+            all.put("cold " + m.info.id(), m.coldSent.stream().flatMapToDouble(Arrays::stream).toArray());
         }
         return all;
     }
 
-    /** Takes over what another dispatcher has learned; what it lacks, or has otherwise, stays as it is. */
+    /** Takes over what another dispatcher hands over; what it lacks, or has otherwise, stays as it is. */
     public void recall(long at, Map<String, double[]> learned) {
         now = at;
-        take(learned, "", 9, v -> {
-            meanNeed = v[0];
-            meanRunNs = v[1];
-            runs = v[2];
-            othersMean = v[3];
-            reportGapNs = v[4];
-            startLagNs = v[5];
-            waitErrorNs = v[6];
-            lateStarts = v[7];
-            lateAt = now;
-            everReported |= v[8] > 0;
+        take(learned, "", 6, v -> {
+            meanRunNs = v[0];
+            runs = v[1];
+            othersMean = v[2];
+            reportGapNs = v[3];
+            startLagNs = v[4];
+            everReported |= v[5] > 0;
+            bornAt = now - rules.overloadForNs(); // what was sent to cold workers before is known
         });
         for (ClassStats s : stats) {
             take(learned, "class " + s.of.name(), 5, v -> {
@@ -1054,6 +1048,10 @@
                 m.reportAt = now;
                 doubt(m, v[5]);
             });
+            double[] sent = learned.getOrDefault("cold " + m.info.id(), new double[0]);
+            for (int i = 1; i < sent.length; i += 2) {
+                m.coldSent.addLast(new double[] {sent[i - 1], sent[i]});
+            }
         }
         refreshIndices(0);
     }
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -242,9 +242,9 @@
 
     // ---- Between the processes of one node
 
-    /** What the module has learned, by what it is of. */
-    public Map<String, double[]> learned() {
-        return module.learned(now());
+    /** What the module has learned, by what it is of; it no longer warms cold targets for a while. */
+    public Map<String, double[]> handOver() {
+        return module.handOver(now());
     }
 
     /** Takes over what the module of an older process had learned. */
--- a/src/main/java/beechseam/platform/Succession.java
+++ b/src/main/java/beechseam/platform/Succession.java
@@ -123,7 +123,7 @@
     public Iterable<byte[]> learned() {
         List<byte[]> pieces = new ArrayList<>();
         Map<String, double[]> piece = new LinkedHashMap<>();
-        for (Map.Entry<String, double[]> each : node.engine.learned().entrySet()) {
+        for (Map.Entry<String, double[]> each : node.engine.handOver().entrySet()) {
             piece.put(each.getKey(), each.getValue());
             if (piece.size() == PIECE) {
                 add(pieces, piece);
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -585,7 +585,7 @@
         }
         Rig fresh = new Rig(Rig.settings(SAFE)).workers(3);
         Rig younger = new Rig(Rig.settings(SAFE)).workers(3);
-        Map<String, double[]> learned = elder.module.learned(elder.now);
+        Map<String, double[]> learned = elder.module.handOver(elder.now);
         learned.put("class c2", new double[] {1});
         learned.put("worker 2", new double[] {1, 2});
         learned.put("worker 99", new double[6]);
@@ -596,12 +596,35 @@
             toFast[1] += younger.job(i) == 1 ? 1 : 0;
         }
         assertTrue(toFast[1] > toFast[0], toFast[1] + " of 6 where a fresh one sends " + toFast[0]);
-        Map<String, double[]> before = elder.module.learned(elder.now);
+        Map<String, double[]> before = elder.module.handOver(elder.now);
         String row = "worker " + elder.job(100);
-        double[] after = elder.module.learned(elder.now).get(row);
+        double[] after = elder.module.handOver(elder.now).get(row);
         assertEquals(before.get(row)[4] + 1, after[4], 1e-9, "its own hop is others' load to another");
     }
 
+    /** Of two processes of one node one may warm a cold worker: the younger, who knows what it was sent. */
+    @Test
+    void theRightToWarmGoesOverWithTheRecordOfWhatWasSent() {
+        Rig elder = new Rig(Rig.settings(SAFE));
+        Rig younger = new Rig(Rig.settings(SAFE));
+        elder.now = younger.now += 2 * S;
+        for (Rig each : List.of(elder, younger)) {
+            each.module.list(each.now, ListForm.FULL, List.of(Rig.worker(1, "z1", each.now, State.READY)));
+        }
+        int most = 0;
+        while (elder.job(most + 1) != 0) {
+            most++; // until the cold budget is spent
+        }
+        assertTrue(most > 0);
+        younger.module.recall(younger.now, elder.module.handOver(elder.now));
+        assertEquals(0, younger.job(1), "spent by the elder");
+        elder.now = younger.now += S + 1;
+        assertNotEquals(0, younger.job(2), "it need not wait, as after a plain start");
+        Rig plain = new Rig(Rig.settings(SAFE));
+        plain.module.list(plain.now, ListForm.FULL, List.of(Rig.worker(1, "z1", plain.now, State.READY)));
+        assertEquals(0, plain.job(1), "what an earlier life has sent is not known");
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -165,9 +165,9 @@
             done("c" + i, "r");
             heard(client, "r");
         }
-        double[] learned = elder.engine.learned().get("class safe");
+        double[] learned = elder.engine.handOver().get("class safe");
         assertEquals(5, learned[2]);
-        assertArrayEquals(learned, successor().engine.learned().get("class safe"));
+        assertArrayEquals(learned, successor().engine.handOver().get("class safe"));
     }
 
     /** A ban holds through an upgrade and a kill, and either process may be told. */
