A hop that nobody acknowledges ends after the connect timeout, not at its deadline

A trace of exchanges showed hops on kept connections with no 202 for 4.9 s, until the deadline; while such a hop was out, the module's doubt of that target grew to its most. Lines at fault: PlatformEgress.Handing had no bound on the 202.

--- a/src/main/java/beechseam/core/Counters.java
+++ b/src/main/java/beechseam/core/Counters.java
@@ -39,6 +39,8 @@
     public long lateCallbacks;
     public long badInput;
     public long withheld;
+    /** Hops whose connection fell silent before the target had taken them. */
+    public long silent;
     public long faults;
     public long confLoaded;
     public long confInvalid;
@@ -97,7 +99,7 @@
             .append(",\"shed\":").append(shed()).append(",\"failed\":").append(failed())
             .append(",\"left\":").append(left).append(",\"probes\":").append(probes)
             .append(",\"late_callbacks\":").append(lateCallbacks).append(",\"bad_input\":").append(badInput)
-            .append(",\"withheld\":").append(withheld)
+            .append(",\"withheld\":").append(withheld).append(",\"silent\":").append(silent)
             .append(",\"crowded_out\":").append(crowdedOut()).append(",\"faults\":").append(faults)
             .append(",\"hops\":{");
         for (Outcome o : Outcome.values()) {
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -181,6 +181,7 @@
 
     public void started(Hop hop) {
         tell(() -> {
+            hop.heardOf = true;
             if (!hop.over) {
                 module.started(now(), hop.request.id, hop.number);
             }
--- a/src/main/java/beechseam/core/Hop.java
+++ b/src/main/java/beechseam/core/Hop.java
@@ -10,6 +10,7 @@
     final Timer timeout;
     boolean over;
     boolean begun;
+    boolean heardOf;
 
     Hop(Request request, int number, long target, Timer timeout) {
         this.request = request;
@@ -23,6 +24,11 @@
         begun = true;
     }
 
+    /** Whether its target has told anything of it. */
+    public boolean heardOf() {
+        return heardOf;
+    }
+
     /** Ended or given up: whatever comes of it now is too late. */
     public boolean over() {
         return over;
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -67,6 +67,12 @@
         private final EgressPool.Target target;
         private boolean accepted;
         private boolean givenUp;
+        private final Timer silence = new Timer() {
+            @Override
+            protected void fire() {
+                silent();
+            }
+        };
 
         Handing(Hop hop, EgressPool.Target target) {
             this.hop = hop;
@@ -99,10 +105,21 @@
         @Override
         void written() {
             engine.counters().of(hop.request.jobClass).written++;
+            pool.loop.timers.set(silence, pool.loop.now() + pool.connectTimeoutNs);
+        }
+
+        /** Its connection has fallen silent, or its machine has: the job may have run, or may yet. */
+        private void silent() {
+            if (!hop.over() && !hop.heardOf()) {
+                engine.counters().silent++;
+                giveUp();
+                engine.ended(hop, Outcome.TIMEOUT, null, null);
+            }
         }
 
         @Override
         void answered(HttpParser answer) {
+            pool.loop.timers.cancel(silence);
             int status = answer.status();
             if (status == 202) {
                 accepted = true;
@@ -117,6 +134,7 @@
 
         @Override
         void broken(boolean neverRan) {
+            pool.loop.timers.cancel(silence);
             engine.ended(hop, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
         }
 
@@ -129,6 +147,7 @@
                 return;
             }
             givenUp = true;
+            pool.loop.timers.cancel(silence);
             if (accepted && !target.gone) {
                 pool.send(target, new Delete(target, hop.request.correlation));
             } else if (connection != null) {
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -152,6 +152,22 @@
         hop(1, "c2");
     }
 
+    /** A connection that falls silent costs its hop a moment, not the target its jobs until a deadline. */
+    @Test
+    void aHopThatNobodyAcknowledgesEndsSoonAndItsConnectionIsClosed() {
+        Peer lost = ask("c1", "once", "30000m");
+        hop(0, "c1");
+        Peer heardOf = ask("c2", "once", "30000m");
+        hop(1, "c2");
+        event("c2", "\"from\":\"s-0badcafe\",\"state\":\"started\""); // it runs: only its 202 is missing
+        net.until("an answer", () -> lost.heard().startsWith("HTTP/1.1 502"));
+        net.until("the close", () -> executor.get(0).gone);
+        done("c2", "r");
+        heard(heardOf, "r");
+        assertEquals(1, node.counters.silent);
+        assertFalse(executor.get(1).gone);
+    }
+
     /** Something that forgets idle connections answers the next request by a reset, which may have run. */
     @Test
     void aConnectionThatStandsAsLongAsOneThatBrokeIsNotUsedAgain() {
