A ban that could not be kept is kept when the call is said again

Seen: a repeated maint-on answered OK though the file had never been written (Maintenance.set returned early).

--- a/src/main/java/beechseam/platform/Maintenance.java
+++ b/src/main/java/beechseam/platform/Maintenance.java
@@ -12,6 +12,7 @@
     /** Where it is kept, or null. */
     private final Kept kept;
     private final Map<String, Long> listed = new HashMap<>();
+    private boolean unkept;
     /** When each was put back; 0 while it is left out. */
     private Map<String, Long> said = new LinkedHashMap<>();
 
@@ -50,14 +51,14 @@
         if (target == null) {
             return "no such executor was ever listed";
         }
-        if (out == isOut(id)) {
-            return null;
+        if (out != isOut(id)) {
+            long back = out ? 0 : engine.now();
+            said.put(id, back);
+            engine.maintain(target, out, back);
+            unkept |= keep && kept != null;
         }
-        long back = out ? 0 : engine.now();
-        said.put(id, back);
-        engine.maintain(target, out, back);
-        return !keep || kept == null || kept.write(said) ? null
-            : "done, but it could not be kept for a new process";
+        unkept = unkept && !kept.write(said); // said again, it is kept if it can be now
+        return unkept ? "done, but it could not be kept for a new process" : null;
     }
 
     boolean isOut(String id) {
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -186,6 +186,18 @@
         assertFalse(successor().engine.routes().serving(0x0badcafeL));
     }
 
+    /** A ban that could not be kept binds all the same, says so, and is kept when it is said again. */
+    @Test
+    void aBanThatCouldNotBeKeptIsKeptWhenSaidAgain() throws Exception {
+        Path aside = directory.resolveSibling(directory.getFileName() + "-aside");
+        Files.move(directory, aside);
+        assertTrue(operator(elder.console(), "maint-on s-0badcafe").startsWith("ERR done, but"));
+        assertFalse(elder.engine.routes().serving(0x0badcafeL));
+        Files.move(aside, directory);
+        assertEquals("OK\n", operator(elder.console(), "maint-on s-0badcafe"));
+        assertFalse(successor().engine.routes().serving(0x0badcafeL));
+    }
+
     /** Random jobs, call-backs and pauses through one upgrade: one whole answer to every client. */
     @Property(seed = "1207", tries = 8)
     void everyClientGetsOneAnswerThroughAnUpgrade(@ForAll long seed) throws Exception {
