--- a/src/main/java/beechseam/config/GearmanConfig.java
+++ b/src/main/java/beechseam/config/GearmanConfig.java
@@ -9,18 +9,41 @@
 import beechseam.Dispatching.Settings;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-/** The operator's file of the Gearman front, checked and with its defaults. */
-public record GearmanConfig(InetSocketAddress listen, String name, List<Place> places, Settings settings,
-                            int maxPacket, int maxConnections, int maxJobs, long grabTimeoutNs,
-                            Map<String, Integer> functions) {
-    /** How a job was submitted: each is a class of its own to the module, which puts worth before time. */
-    public enum Mode { NORMAL, HIGH, LOW, BACKGROUND }
+/**
+ * The operator's file of the Gearman front, checked and with its defaults. Times are nanoseconds, sizes
+ * bytes.
+ */
+public record GearmanConfig(InetSocketAddress listen, String name, String zone, List<Place> places,
+                            Bounds bounds, Turns turns, Limits limits, double crossZonePrice,
+                            Map<String, Function> functions, Function anyFunction) {
+    /**
+     * How a job was submitted, the most urgent first: each is a class of its own to the module, which puts
+     * worth before time, and a level of the line before it.
+     */
+    public enum Mode {
+        HIGH(4, false), NORMAL(1, false), LOW(0.25, false), HIGH_BACKGROUND(0.25, true),
+        BACKGROUND(0.0625, true), LOW_BACKGROUND(0.015625, true);
+
+        /** Worth relative to the function's. */
+        final double scale;
+        public final boolean background;
+
+        Mode(double scale, boolean background) {
+            this.scale = scale;
+            this.background = background;
+        }
+
+        /** Its priority whether in the background or not: 0 high, 1 normal, 2 low. */
+        public int priority() {
+            return ordinal() % 3;
+        }
+    }
 
     /** Where workers of a client id are; {@code *} at the end stands for any rest. */
     public record Place(String clientId, String zone, int cell) {
@@ -30,46 +53,116 @@
         }
     }
 
+    /** Jobs that may wait of a function, by priority. */
+    public record MaxQueue(int high, int normal, int low) {
+        public int of(Mode mode) {
+            return switch (mode.priority()) {
+                case 0 -> high;
+                case 1 -> normal;
+                default -> low;
+            };
+        }
+    }
+
+    /** What is known of a function before it is used; {@code classes} are in the order of {@link Mode}. */
+    public record Function(List<JobClass> classes, MaxQueue maxQueue) {
+        public JobClass of(Mode mode) {
+            return classes.get(mode.ordinal());
+        }
+    }
+
+    /**
+     * What may be held: {@code memory} in bytes over all workloads and results, {@code slots} jobs a worker.
+     */
+    public record Bounds(int packet, long memory, int unread, int connections, int jobs, int jobsPerClient,
+                         int functions, int slots, int targets) {
+    }
+
+    /** Times and turns; {@code adminShutdown}: whether the admin line of that name is obeyed. */
+    public record Turns(long grabTimeoutNs, int ageingTurn, long ageingNs, long stopWithinNs, long stallNs,
+                        boolean adminShutdown) {
+    }
+
+    /** The name that stands for every function that has none of its own. */
+    public static final String ANY = "*";
     private static final long MS = 1_000_000L;
     private static final long MAX_MS = 7L * 24 * 3600 * 1000;
+    private static final int MB = 1024 * 1024;
 
     public static GearmanConfig read(String file) throws ConfigException {
-        return of(NodeConfig.read(file));
+        try {
+            return of(NodeConfig.read(file));
+        } catch (ConfigException e) {
+            throw e.in(file);
+        }
     }
 
+    /** What a server without a file does: any function, on the loopback address and the well-known port. */
+    public static GearmanConfig usual() {
+        try {
+            // A job waits for a worker for an hour, as one would expect of a queue, and not for a minute.
+            return of(new Tree("", Map.of("functions", List.of(Map.of("name", ANY, "effect", "unsafe",
+                "deadline_ms", 3_600_000, "background_deadline_ms", MAX_MS, "aim_ms", 1000)))));
+        } catch (ConfigException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Reads, checks, and complains of keys that nobody asked for. */
     public static GearmanConfig of(Tree c) throws ConfigException {
         String zone = c.text("zone", "-");
         List<Place> places = new ArrayList<>();
         for (Tree each : c.objects("workers")) {
             places.add(new Place(each.text("client_id"), each.text("zone", zone),
                 (int) each.whole("cell", 0, Integer.MAX_VALUE, 0)));
+            each.noOthers();
         }
-        List<JobClass> classes = new ArrayList<>();
-        Map<String, Integer> functions = new HashMap<>();
-        for (Tree each : c.objects("functions")) {
+        Map<String, Function> functions = functions(c);
+        Limits limits = new Limits((int) c.whole("attempts", 1, 100, 6),
+            c.whole("retry_after_ms", 0, MAX_MS, 2000) * MS, true, true, false, c.flag("copies", false), 0);
+        int packet = (int) c.whole("max_packet_kb", 1, 1024 * 1024, 16 * 1024) * 1024;
+        int jobs = (int) c.whole("max_jobs", 1, 100_000_000, 1_000_000);
+        long memory = c.whole("max_memory_mb", 1, 1 << 20,
+            Math.max(1, Runtime.getRuntime().maxMemory() / 2 / MB)) * MB;
+        Bounds bounds = new Bounds(packet, memory, (int) c.whole("max_unread_kb", 64, 1024 * 1024,
+            16 * 1024) * 1024,
+            (int) c.whole("max_connections", 1, 1_000_000, 4096), jobs,
+            (int) c.whole("max_jobs_per_client", 1, 100_000_000, jobs),
+            (int) c.whole("max_functions", 1, 1_000_000, 1000), (int) c.whole("worker_slots", 1, 10_000, 16),
+            (int) c.whole("max_targets", 1, 10_000, 48));
+        Turns turns = new Turns(c.whole("grab_timeout_ms", 1, MAX_MS, 1000) * MS,
+            (int) c.whole("ageing_turn", 0, 1_000_000, 16), c.whole("ageing_ms", 0, MAX_MS, 10_000) * MS,
+            c.whole("stop_within_ms", 0, MAX_MS, 10_000) * MS, c.whole("stall_ms", 100, MAX_MS, 30_000) * MS,
+            c.flag("admin_shutdown", true));
+        GearmanConfig config = new GearmanConfig(c.address("listen", "127.0.0.1:4730"), c.text("name",
+            "beechseam"),
+            zone, List.copyOf(places), bounds, turns, limits, c.number("cross_zone_price", 0, 1, 0),
+            Map.copyOf(functions), functions.get(ANY));
+        c.noOthers();
+        return config;
+    }
+
+    private static Map<String, Function> functions(Tree c) throws ConfigException {
+        Map<String, Function> functions = new LinkedHashMap<>();
+        List<Tree> named = c.objects("functions", ANY);
+        if (named == null) {
+            functions.put(ANY, function(new Tree("functions", Map.of()), ANY));
+            return functions;
+        }
+        for (Tree each : named) {
             String name = each.text("name");
-            if (functions.put(name, functions.size()) != null) {
+            if (functions.put(name, function(each, name)) != null) {
                 throw each.wrong("name", "is there twice: " + name);
             }
-            addClasses(each, name, classes);
+            each.noOthers();
         }
         if (functions.isEmpty()) {
-            throw c.wrong("functions", "must name at least one function");
+            throw c.wrong("functions", "must be \"*\" or name at least one function");
         }
-        Limits limits = new Limits((int) c.whole("attempts", 1, 100, 6),
-            c.whole("retry_after_ms", 0, MAX_MS, 2000) * MS, true, true, false, c.flag("copies", false), 0);
-        // Gearman's workers say nothing of their start or load, so there is no cold budget to keep.
-        Rules rules = new Rules(300 * MS, Long.MAX_VALUE, 1, 0, 1, 0, false);
-        Settings settings = new Settings(List.copyOf(classes), limits, rules, Reports.ANSWERS, false, 1, 0,
-            zone, true, 0, c.number("cross_zone_price", 0, 1, 0), 0, 0, false);
-        return new GearmanConfig(c.address("listen", "127.0.0.1:4730"), c.text("name", "beechseam"), places,
-            settings, (int) c.whole("max_packet_kb", 1, 16 * 1024, 256) * 1024,
-            (int) c.whole("max_connections", 1, 100_000, 256),
-            (int) c.whole("max_jobs", 1, 1_000_000, 10_000),
-            c.whole("grab_timeout_ms", 1, MAX_MS, 1000) * MS, Map.copyOf(functions));
+        return functions;
     }
 
-    private static void addClasses(Tree f, String name, List<JobClass> classes) throws ConfigException {
+    private static Function function(Tree f, String name) throws ConfigException {
         long deadline = f.whole("deadline_ms", 10, MAX_MS, 60_000) * MS;
         long background = f.whole("background_deadline_ms", 10, MAX_MS, 3_600_000) * MS;
         // The module takes a run to last the aim until it knows better, so the aim leaves room for a wait.
@@ -84,26 +177,39 @@
         if (effect == Effect.KEYED && window == 0) {
             throw f.wrong("window_ms", "must be set for a keyed function");
         }
+        Tree most = f.object("max_queue", Map.of());
+        MaxQueue maxQueue = new MaxQueue((int) most.whole("high", 0, Integer.MAX_VALUE, Integer.MAX_VALUE),
+            (int) most.whole("normal", 0, Integer.MAX_VALUE, Integer.MAX_VALUE),
+            (int) most.whole("low", 0, Integer.MAX_VALUE, Integer.MAX_VALUE));
+        most.noOthers();
+        List<JobClass> classes = new ArrayList<>();
         for (Mode mode : Mode.values()) {
-            boolean behind = mode == Mode.BACKGROUND;
-            double scale = switch (mode) {
-                case NORMAL -> 1;
-                case HIGH -> 4;
-                case LOW -> 0.25;
-                case BACKGROUND -> 0.0625;
-            };
-            classes.add(new JobClass(name + "/" + mode, behind ? background / 4 : aim,
-                behind ? background : deadline, stretch, worth * scale, late, effect, group, window, name));
+            classes.add(new JobClass(mode.name(), mode.background ? background / 4 : aim,
+                mode.background ? background : deadline, stretch, worth * mode.scale, late, effect, group,
+                    window,
+                name));
         }
+        return new Function(List.copyOf(classes), maxQueue);
     }
 
-    /** The module's class of a function's jobs in a mode. */
-    public int classOf(int function, Mode mode) {
-        return function * Mode.values().length + mode.ordinal();
+    /** What is known of a function by that name; null when this server does not serve it. */
+    public Function function(String name) {
+        return functions.getOrDefault(name, anyFunction);
     }
 
-    public JobClass jobClass(int function, Mode mode) {
-        return settings.classes().get(classOf(function, mode));
+    /**
+     * What the module of one function is told: its classes by {@link Mode}, run by workers of that kind
+     * alone.
+     */
+    public Settings settings(String name, Function f) {
+        List<JobClass> classes = f.classes().stream().map(c -> new JobClass(c.name(), c.aimNs(),
+            c.deadlineNs(),
+            c.stretch(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.windowNs(), name)).toList();
+        // Gearman's workers say nothing of their start or load, so there is no cold budget to keep.
+        Rules rules = new Rules(300 * MS, Long.MAX_VALUE, 1, 0, 1, 0, false);
+        return new Settings(classes, limits, rules, Reports.ANSWERS, false, 1, 0, zone, true, 0,
+            crossZonePrice, 0,
+            0, false);
     }
 
     public Place place(String clientId) {
@@ -112,12 +218,12 @@
                 return each;
             }
         }
-        return new Place(clientId, settings.zone(), 0);
+        return new Place(clientId, zone, 0);
     }
 
     /** Zones that the file names. */
     public Set<String> zones() {
-        Set<String> zones = new HashSet<>(Set.of(settings.zone()));
+        Set<String> zones = new HashSet<>(Set.of(zone));
         places.forEach(each -> zones.add(each.zone()));
         return zones;
     }
--- a/src/main/java/beechseam/config/Tree.java
+++ b/src/main/java/beechseam/config/Tree.java
@@ -4,19 +4,100 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.text.similarity.LevenshteinDistance;
 
-/** An object of a configuration, read with checks and defaults; every complaint names the key by its path. */
+/**
+ * An object of a configuration, read with checks and defaults; every complaint names the key by its path. It
+ * notes what it was asked for, so that a key that nobody asked for is found, and a schema can be made of what
+ * is asked.
+ */
 public final class Tree {
+    /** What a key must be. */
+    enum Kind { TEXT, WHOLE, NUMBER, FLAG, WORD, DIRECTORY, ADDRESS, OBJECT, NUMBERS, OBJECTS }
+
+    /**
+     * What was asked of a key: its bounds if it is a number, its words if it is one of some, the word that
+     * may stand in place of a list; {@code child} is the last object read of it, null for other kinds.
+     */
+    record Asked(Kind kind, boolean required, Object otherwise, double least, double most, List<String> words,
+                 Tree child) {
+    }
+
+    /** Words further apart than this share of their length are not taken for one misspelt. */
+    private static final double LIKE = 0.5;
+
     private final String path;
     private final Map<?, ?> values;
+    private final Map<String, Asked> asked = new LinkedHashMap<>();
 
     public Tree(String path, Map<?, ?> values) {
         this.path = path;
         this.values = values;
     }
 
+    Map<String, Asked> asked() {
+        return asked;
+    }
+
+    private void note(String key, Kind kind, Object otherwise, double least, double most, List<String> words,
+                      Tree child) {
+        Asked before = asked.get(key);
+        if (before == null || child != null) {
+            asked.put(key, new Asked(kind, before != null && before.required, otherwise, least, most, words,
+                child));
+        }
+    }
+
+    private void note(String key, Kind kind, Object otherwise) {
+        note(key, kind, otherwise, 0, 0, null, null);
+    }
+
+    private void require(String key, Kind kind) throws ConfigException {
+        asked.put(key, new Asked(kind, true, null, 0, 0, null, null));
+        if (!has(key)) {
+            throw missing(key);
+        }
+    }
+
+    /** Complains of a key that was not asked for, with the nearest of those that were. */
+    public void noOthers() throws ConfigException {
+        for (Object each : values.keySet()) {
+            if (!asked.containsKey(each)) {
+                String near = nearest(each.toString());
+                throw wrong(each.toString(), "is not known here" + (near == null ? "; known are "
+                    + String.join(", ", asked.keySet()) : "; did you mean " + near + "?"));
+            }
+        }
+    }
+
+    /** Keys that were not asked for, each with the nearest that was, or null where none is like it. */
+    public Map<String, String> others() {
+        Map<String, String> others = new LinkedHashMap<>();
+        for (Object each : values.keySet()) {
+            if (!asked.containsKey(each)) {
+                others.put(path(each.toString()), nearest(each.toString()));
+            }
+        }
+        return others;
+    }
+
+    private String nearest(String key) {
+        String best = null;
+        int least = (int) Math.max(2, key.length() * LIKE) + 1;
+        for (String each : asked.keySet()) {
+            int distance = LevenshteinDistance.getDefaultInstance().apply(key.toLowerCase(),
+                each.toLowerCase());
+            if (distance < least) {
+                least = distance;
+                best = each;
+            }
+        }
+        return best;
+    }
+
     public String path(String key) {
         return path.isEmpty() ? key : path + "." + key;
     }
@@ -30,7 +111,11 @@
     }
 
     public ConfigException wrong(String key, String problem) {
-        return new ConfigException(path(key), problem);
+        Object value = values.get(key);
+        boolean plain = value instanceof String || value instanceof Number || value instanceof Boolean;
+        return new ConfigException(path(key), plain && !problem.contains("known") ? problem + " (it is "
+            + value + ")"
+            : problem);
     }
 
     private ConfigException missing(String key) {
@@ -38,13 +123,12 @@
     }
 
     public String text(String key) throws ConfigException {
-        if (!has(key)) {
-            throw missing(key);
-        }
+        require(key, Kind.TEXT);
         return text(key, null);
     }
 
     public String text(String key, String otherwise) throws ConfigException {
+        note(key, Kind.TEXT, otherwise);
         Object value = values.get(key);
         if (value == null) {
             return otherwise;
@@ -57,6 +141,7 @@
 
     /** A whole number within bounds. */
     public long whole(String key, long least, long most, long otherwise) throws ConfigException {
+        note(key, Kind.WHOLE, otherwise, least, most, null, null);
         double value = number(key, least, most, otherwise);
         if (value != Math.rint(value)) {
             throw wrong(key, "must be a whole number");
@@ -65,6 +150,7 @@
     }
 
     public double number(String key, double least, double most, double otherwise) throws ConfigException {
+        note(key, Kind.NUMBER, otherwise, least, most, null, null);
         Object value = values.get(key);
         if (value == null) {
             return otherwise;
@@ -81,6 +167,7 @@
     }
 
     public boolean flag(String key, boolean otherwise) throws ConfigException {
+        note(key, Kind.FLAG, otherwise);
         Object value = values.get(key);
         if (value == null) {
             return otherwise;
@@ -92,6 +179,9 @@
     }
 
     public <E extends Enum<E>> E word(String key, Class<E> words, E otherwise) throws ConfigException {
+        List<String> known = java.util.Arrays.stream(words.getEnumConstants())
+            .map(e -> e.name().toLowerCase()).toList();
+        note(key, Kind.WORD, otherwise == null ? null : otherwise.name().toLowerCase(), 0, 0, known, null);
         String value = text(key, null);
         if (value == null) {
             return otherwise;
@@ -106,8 +196,9 @@
 
     /** A directory, or null where none is named; it is not looked for here. */
     public Path directory(String key) throws ConfigException {
+        note(key, Kind.DIRECTORY, null);
         try {
-            return has(key) ? Path.of(text(key)) : null;
+            return has(key) ? Path.of(text(key, null)) : null;
         } catch (InvalidPathException e) {
             throw wrong(key, "must be a path: " + e.getReason());
         }
@@ -115,6 +206,7 @@
 
     /** An IP address and port; no names, since nothing here resolves them. */
     public InetSocketAddress address(String key, String otherwise) throws ConfigException {
+        note(key, Kind.ADDRESS, otherwise);
         String value = text(key, otherwise);
         if (value == null) {
             throw missing(key);
@@ -141,25 +233,23 @@
     }
 
     public Tree object(String key) throws ConfigException {
-        if (!has(key)) {
-            throw missing(key);
-        }
+        require(key, Kind.OBJECT);
         return object(key, null);
     }
 
     public Tree object(String key, Map<?, ?> otherwise) throws ConfigException {
         Object value = values.get(key);
-        if (value == null) {
-            return new Tree(path(key), otherwise);
-        }
-        if (!(value instanceof Map<?, ?> map)) {
+        if (value != null && !(value instanceof Map<?, ?>)) {
             throw wrong(key, "must be an object");
         }
-        return new Tree(path(key), map);
+        Tree child = new Tree(path(key), value == null ? otherwise : (Map<?, ?>) value);
+        note(key, Kind.OBJECT, null, 0, 0, null, child);
+        return child;
     }
 
     /** Checks that a list, if there is one, holds numbers only. */
     public void numbers(String key) throws ConfigException {
+        note(key, Kind.NUMBERS, null);
         Object value = values.get(key);
         if (value != null && !(value instanceof List<?> list
             && list.stream().allMatch(each -> each instanceof Number))) {
@@ -169,7 +259,17 @@
 
     /** The objects of a list; absent is empty. */
     public List<Tree> objects(String key) throws ConfigException {
+        return objects(key, null);
+    }
+
+    /** The same, or null where the word stands in the list's place. */
+    public List<Tree> objects(String key, String word) throws ConfigException {
+        List<String> words = word == null ? null : List.of(word);
+        note(key, Kind.OBJECTS, null, 0, 0, words, null);
         Object value = values.get(key);
+        if (word != null && word.equals(value)) {
+            return null;
+        }
         List<Tree> all = new ArrayList<>();
         if (value == null) {
             return all;
@@ -182,7 +282,9 @@
             if (!(each instanceof Map<?, ?> map)) {
                 throw new ConfigException(at, "must be an object");
             }
-            all.add(new Tree(at, map));
+            Tree child = new Tree(at, map);
+            note(key, Kind.OBJECTS, null, 0, 0, words, child);
+            all.add(child);
         }
         return all;
     }
--- a/src/main/java/beechseam/core/Counters.java
+++ b/src/main/java/beechseam/core/Counters.java
@@ -78,6 +78,33 @@
         return taken - served() - shed() - failed() - left;
     }
 
+    /** Counts all that another has counted as well, class by class. */
+    public void add(Counters other) {
+        for (int i = 0; i < other.classes.size(); i++) {
+            OfClass to = of(i);
+            OfClass from = other.classes.get(i);
+            to.served += from.served;
+            to.shed += from.shed;
+            to.failed += from.failed;
+            to.crowdedOut += from.crowdedOut;
+            to.written += from.written;
+        }
+        taken += other.taken;
+        sent += other.sent;
+        left += other.left;
+        probes += other.probes;
+        lateCallbacks += other.lateCallbacks;
+        badInput += other.badInput;
+        withheld += other.withheld;
+        silent += other.silent;
+        faults += other.faults;
+        confLoaded += other.confLoaded;
+        confInvalid += other.confInvalid;
+        for (int i = 0; i < ended.length; i++) {
+            ended[i] += other.ended[i];
+        }
+    }
+
     void count(Outcome outcome) {
         ended[outcome.ordinal()]++;
     }
--- /dev/null
+++ b/src/main/java/beechseam/gearman/Admin.java
@@ -0,0 +1,215 @@
+package beechseam.gearman;
+
+import beechseam.config.GearmanConfig.Mode;
+import beechseam.gearman.queue.JobLines;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The admin lines: those of the published list, and of our own {@code counters}, {@code drain} and
+ * {@code undrain}. An answer is one line that begins with OK or ERR, or lines that end with one of a dot.
+ */
+final class Admin {
+    private static final String END = ".\n";
+    private static final String OK = "OK\n";
+    private final GearmanServer server;
+
+    Admin(GearmanServer server) {
+        this.server = server;
+    }
+
+    void answer(String line, GearmanConnection to) {
+        if (!line.isEmpty()) { // an empty one is somebody's second line end
+            to.write(ByteBuffer.wrap(answer(line).getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    private String answer(String line) {
+        String[] words = line.split("\\s+");
+        return switch (words[0].toLowerCase(java.util.Locale.ROOT)) {
+            case "status" -> status();
+            case "prioritystatus" -> priorityStatus();
+            case "workers" -> workers();
+            case "version" -> "OK " + GearmanServer.version() + "\n";
+            case "getpid" -> "OK " + ProcessHandle.current().pid() + "\n";
+            case "verbose" -> "OK " + server.verbosity() + "\n";
+            case "counters" -> server.figures() + "\n";
+            case "maxqueue" -> maxQueue(words);
+            case "create" -> create(words);
+            case "drop" -> drop(words);
+            case "show" -> show(words);
+            case "cancel" -> cancel(words);
+            case "drain" -> drain(words, true);
+            case "undrain" -> drain(words, false);
+            case "shutdown" -> shutdown(words);
+            default -> error("UNKNOWN_COMMAND", "Unknown server command");
+        };
+    }
+
+    /** Blanks are plus signs in the published form of errors. */
+    private static String error(String code, String why) {
+        return "ERR " + code + " " + why.replace(' ', '+') + "\n";
+    }
+
+    private static String incomplete() {
+        return error("INVALID_ARGUMENTS", "An incomplete set of arguments was sent to this command");
+    }
+
+    private List<GearmanFunction> sorted() {
+        List<GearmanFunction> all = new ArrayList<>(server.functions());
+        all.sort(Comparator.comparing((GearmanFunction f) -> f.name));
+        return all;
+    }
+
+    private String status() {
+        StringBuilder s = new StringBuilder();
+        for (GearmanFunction f : sorted()) {
+            s.append(f.name).append('\t').append(f.alive).append('\t').append(f.running).append('\t')
+                .append(f.cohorts.members()).append('\n');
+        }
+        return s.append(END).toString();
+    }
+
+    private String priorityStatus() {
+        StringBuilder s = new StringBuilder();
+        for (GearmanFunction f : sorted()) {
+            int[] waiting = new int[3];
+            for (Mode mode : Mode.values()) {
+                waiting[mode.priority()] += f.lines.size(mode.ordinal());
+            }
+            s.append(f.name);
+            for (int each : waiting) {
+                s.append('\t').append(each);
+            }
+            s.append('\t').append(f.cohorts.members()).append('\n');
+        }
+        return s.append(END).toString();
+    }
+
+    private String workers() {
+        StringBuilder s = new StringBuilder();
+        for (GearmanConnection each : server.connections()) {
+            WorkerSession w = each.worker();
+            s.append(w == null ? 0
+                : w.number).append(' ').append(each.peer()).append(' ').append(each.clientId())
+                .append(" :");
+            if (w != null) {
+                w.functions().forEach(name -> s.append(' ').append(name));
+            }
+            s.append('\n');
+        }
+        return s.append(END).toString();
+    }
+
+    /** Of a function, one bound for each priority or one for all; none, or below 1: no bound. */
+    private String maxQueue(String[] words) {
+        if (words.length < 2) {
+            return incomplete();
+        }
+        int[] most = new int[3];
+        for (int i = 0; i < 3; i++) {
+            String word = words.length == 2 ? "0" : words.length < 5 ? words[2] : words[2 + i];
+            try {
+                int bound = Integer.parseInt(word);
+                most[i] = bound < 1 ? Integer.MAX_VALUE : bound;
+            } catch (NumberFormatException e) {
+                return error("INVALID_ARGUMENTS", "a bound must be a whole number");
+            }
+        }
+        GearmanFunction f = server.find(words[1]);
+        if (f == null) {
+            return OK; // as published: a function that is not there has no queue to bound
+        }
+        JobLines<GearmanJob> lines = f.lines;
+        for (Mode mode : Mode.values()) {
+            lines.limit(mode.ordinal(), most[mode.priority()]);
+        }
+        return OK;
+    }
+
+    private String create(String[] words) {
+        if (words.length != 3 || !words[1].equals("function")) {
+            return incomplete();
+        }
+        GearmanFunction f = ClientSession.goodName(words[2]) ? server.function(words[2], null) : null;
+        if (f == null) {
+            return error("CREATE_FUNCTION", words[2]);
+        }
+        f.pinned = true;
+        return OK;
+    }
+
+    private String drop(String[] words) {
+        if (words.length != 3 || !words[1].equals("function")) {
+            return incomplete();
+        }
+        GearmanFunction f = server.find(words[2]);
+        if (f == null) {
+            return "ERR function not found\n";
+        }
+        f.pinned = false;
+        if (!f.empty()) {
+            return "ERR there are still connected workers or executing clients\n";
+        }
+        server.forget(f);
+        return OK;
+    }
+
+    private String show(String[] words) {
+        if (words.length == 2 && words[1].equals("jobs")) {
+            StringBuilder s = new StringBuilder();
+            for (GearmanJob job : server.jobs.all()) { // handle, retries, ignored, waiting
+                s.append(job.handle()).append("\t0\t0\t").append(job.running() ? 0 : 1).append('\n');
+            }
+            return s.append(END).toString();
+        }
+        if (words.length == 3 && words[1].equals("unique") && words[2].equals("jobs")) {
+            StringBuilder s = new StringBuilder();
+            for (GearmanJob job : server.jobs.all()) {
+                if (!job.unique.isEmpty()) {
+                    s.append(job.unique).append('\n');
+                }
+            }
+            return s.append(END).toString();
+        }
+        return error("UNKNOWN_SHOW_ARGUMENTS", "jobs, or unique jobs");
+    }
+
+    /** Only what has not begun: what runs may have had its effect already. */
+    private String cancel(String[] words) {
+        if (words.length != 3 || !words[1].equals("job")) {
+            return incomplete();
+        }
+        GearmanJob job = server.jobs.byHandle(words[2]);
+        if (job == null) {
+            return error("UNKNOWN_JOB", words[2]);
+        }
+        if (job.running()) {
+            return error("JOB_RUNNING", "a worker holds it");
+        }
+        server.cancel(job);
+        return OK;
+    }
+
+    private String drain(String[] words, boolean on) {
+        if (words.length != 2) {
+            return incomplete();
+        }
+        server.drain(words[1], on);
+        return OK;
+    }
+
+    private String shutdown(String[] words) {
+        if (words.length > 2 || words.length == 2 && !words[1].equals("graceful")) {
+            return error("INVALID_ARGUMENTS", "nothing, or graceful");
+        }
+        if (!server.config.turns().adminShutdown()) {
+            return error("NOT_ALLOWED", "admin_shutdown is false here");
+        }
+        server.shutDown(words.length == 2);
+        return OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -0,0 +1,200 @@
+package beechseam.gearman;
+
+import beechseam.Dispatching.Effect;
+import beechseam.config.GearmanConfig.Mode;
+import beechseam.gearman.protocol.Arguments;
+import beechseam.gearman.protocol.Packet;
+import beechseam.gearman.queue.Admission.Refusal;
+import beechseam.gearman.queue.Schedule;
+import java.nio.ByteBuffer;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZonedDateTime;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The client's side of a connection: what it submits, asks and waits for. Turns in line go by such sessions.
+ */
+final class ClientSession {
+    private static final int MOST_NAME = 512;
+    private static final int MOST_UNIQUE = 1024;
+    /** Epochs further off are a mistake, such as milliseconds in place of seconds. */
+    private static final long FARTHEST_S = 10L * 365 * 24 * 3600;
+
+    private final GearmanServer server;
+    private final GearmanConnection connection;
+    /** Jobs whose end it is owed. */
+    private final Set<GearmanJob> waitsFor = new LinkedHashSet<>();
+    /** Jobs that it submitted and that have not ended, waited for or not. */
+    int open;
+    private boolean exceptions;
+
+    ClientSession(GearmanServer server, GearmanConnection connection) {
+        this.server = server;
+        this.connection = connection;
+    }
+
+    boolean wantsExceptions() {
+        return exceptions;
+    }
+
+    int waiting() {
+        return waitsFor.size();
+    }
+
+    void submit(Packet kind, Arguments args) {
+        switch (kind) {
+            case SUBMIT_JOB -> submit(args, 2, Mode.NORMAL, null, 0);
+            case SUBMIT_JOB_HIGH -> submit(args, 2, Mode.HIGH, null, 0);
+            case SUBMIT_JOB_LOW -> submit(args, 2, Mode.LOW, null, 0);
+            case SUBMIT_JOB_BG -> submit(args, 2, Mode.BACKGROUND, null, 0);
+            case SUBMIT_JOB_HIGH_BG -> submit(args, 2, Mode.HIGH_BACKGROUND, null, 0);
+            case SUBMIT_JOB_LOW_BG -> submit(args, 2, Mode.LOW_BACKGROUND, null, 0);
+            case SUBMIT_REDUCE_JOB -> submit(args, 3, Mode.NORMAL, args.text(2), 0);
+            case SUBMIT_REDUCE_JOB_BACKGROUND -> submit(args, 3, Mode.BACKGROUND, args.text(2), 0);
+            case SUBMIT_JOB_EPOCH -> {
+                long at = epoch(args.text(2));
+                if (at > 0) {
+                    submit(args, 3, Mode.BACKGROUND, null, at);
+                }
+            }
+            case SUBMIT_JOB_SCHED -> {
+                long at = schedule(args);
+                if (at > 0) {
+                    submit(args, 7, Mode.BACKGROUND, null, at);
+                }
+            }
+            default -> throw new IllegalArgumentException(kind.name());
+        }
+    }
+
+    /** The host's clock at that second; 0 where it is none, and the client has been told. */
+    private long epoch(String text) {
+        long now = server.loop.now();
+        try {
+            long seconds = Long.parseLong(text);
+            if (seconds >= 0 && seconds <= now / 1_000_000_000L + FARTHEST_S) {
+                return Math.max(1, seconds * 1_000_000_000L);
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        connection.error("BAD_ARGUMENTS",
+            "SUBMIT_JOB_EPOCH needs whole seconds since 1970, at most ten years ahead");
+        return 0;
+    }
+
+    private long schedule(Arguments args) {
+        try {
+            long now = server.loop.now();
+            Instant instant = Instant.ofEpochSecond(now / 1_000_000_000L, now % 1_000_000_000L);
+            ZonedDateTime at = Schedule.next(ZonedDateTime.ofInstant(instant, ZoneId.systemDefault()),
+                args.text(2), args.text(3), args.text(4), args.text(5), args.text(6));
+            return at.toEpochSecond() * 1_000_000_000L;
+        } catch (IllegalArgumentException e) {
+            connection.error("BAD_ARGUMENTS", "SUBMIT_JOB_SCHED: " + e.getMessage());
+            return 0;
+        }
+    }
+
+    /** Whether a name can stand in a line of an admin answer. */
+    static boolean goodName(String name) {
+        return !name.isEmpty() && name.length() <= MOST_NAME && name.chars().noneMatch(c -> c < ' '
+            || c == 127);
+    }
+
+    /**
+     * @param load index of the workload
+     * @param at   when it is due, by the host's clock; 0 for now
+     */
+    private void submit(Arguments args, int load, Mode mode, String reducer, long at) {
+        String name = args.text(0);
+        String unique = args.text(1);
+        if (!goodName(name) || args.length(1) > MOST_UNIQUE) {
+            connection.error("BAD_ARGUMENTS", "a function's name has 1 to " + MOST_NAME
+                + " characters and none that controls, a key at most " + MOST_UNIQUE + " bytes");
+            return;
+        }
+        GearmanFunction f = server.function(name, connection);
+        if (f == null) {
+            return; // it has been told why
+        }
+        if (f.of(mode).effect() == Effect.KEYED && unique.isEmpty()) {
+            connection.error("NO_KEY", "jobs of this function need a unique key");
+            return;
+        }
+        Object key = unique.equals("-") ? Jobs.key(unique, args.bytes(load)) : Jobs.key(unique, null);
+        GearmanJob job = server.jobs.byKey(key, f);
+        boolean fresh = job == null;
+        if (fresh) {
+            if (server.stopping()) {
+                connection.error("QUEUE_FULL", "the server is stopping");
+                return;
+            }
+            // Bytes of the whole packet where its array is kept, and what the job costs besides.
+            int charge = Jobs.OVERHEAD + args.length(load) + args.length(1);
+            Refusal refusal = server.admission.check(server.jobs.size(), open, f.lines, mode.ordinal(),
+                charge,
+                server.budget);
+            if (refusal != null) {
+                connection.error(refusal.code(), refusal.why());
+                return;
+            }
+            ByteBuffer workload = args.kept(load);
+            job = new GearmanJob(server.jobs.next(), f, unique, key, workload, mode, reducer, this, charge);
+            server.jobs.add(job);
+            open++;
+            f.alive++;
+        }
+        job.background |= mode.background;
+        connection.write(Packet.JOB_CREATED.response(job.handle()));
+        if (!mode.background && job.join(connection)) {
+            waitsFor.add(job);
+        }
+        if (fresh && at > server.loop.now()) {
+            f.later(job, at);
+        } else if (fresh) {
+            f.enter(job);
+            f.feed();
+        }
+    }
+
+    void status(String name, boolean unique) {
+        GearmanJob job = unique ? server.jobs.byUnique(name) : server.jobs.byHandle(name);
+        Object known = job == null ? "0" : "1";
+        Object running = job != null && job.running() ? "1" : "0";
+        Object numerator = job == null ? "0" : job.numerator;
+        Object denominator = job == null ? "0" : job.denominator;
+        connection.write(unique
+            ? Packet.STATUS_RES_UNIQUE.response(name, known, running, numerator, denominator,
+                job == null ? 0 : job.clientCount())
+            : Packet.STATUS_RES.response(name, known, running, numerator, denominator));
+    }
+
+    void option(String name) {
+        if (name.equalsIgnoreCase("exceptions")) {
+            exceptions = true;
+            connection.write(Packet.OPTION_RES.response(name));
+        } else {
+            connection.error("UNKNOWN_OPTION", "the only option is 'exceptions'");
+        }
+    }
+
+    /** A job that it waited for has ended. */
+    void ended(GearmanJob job) {
+        waitsFor.remove(job);
+    }
+
+    /** The connection is gone: each job loses a client, and one that nobody waits for is given up. */
+    void lost() {
+        for (GearmanJob job : List.copyOf(waitsFor)) {
+            job.leave(connection);
+            if (job.clientCount() == 0 && !job.background) {
+                server.abandon(job, Jobs.End.LEFT);
+            }
+        }
+        waitsFor.clear();
+    }
+}
--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -1,180 +1,238 @@
 package beechseam.gearman;
 
-import beechseam.config.GearmanConfig.Mode;
+import beechseam.gearman.protocol.Arguments;
+import beechseam.gearman.protocol.Packet;
+import beechseam.gearman.protocol.PacketDecoder;
+import beechseam.net.Buffers;
 import beechseam.net.Connection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
-/** A connection of a client, a worker, both, or an operator who types admin lines. */
-final class GearmanConnection extends Connection {
-    private static final int MAX_LINE = 1024;
-    private static final long STALL_NS = 30_000_000_000L;
+/**
+ * A connection of a client, a worker, both, or an operator who types admin lines. It takes packets and lines
+ * off the wire and hands each to the session that it is for. Memory is bounded at both ends: a long packet is
+ * read only once there is room for it, and a peer that does not read is not read from, nor are the workers
+ * that write to it.
+ */
+final class GearmanConnection extends Connection implements PacketDecoder.Owner {
+    private static final int MAX_LINE = 2048;
+    /** Bodies up to this are taken from the read buffer; longer ones get an array of their own. */
+    static final int IN_PLACE = Buffers.SIZE / 2;
+    /** Unread answers from which on the peer's own requests wait. */
+    private static final int UNREAD_STOP = 256 * 1024;
+    /** Unread data from which on the worker that writes it waits. */
+    static final int PRESSURE = 1024 * 1024;
+    /** Cut off for a broken frame, a peer may go on sending so much before its connection is reset. */
+    private static final long MOST_DISCARDED = 128L * 1024 * 1024;
 
-    /** Jobs that this client waits for. */
-    final Set<GearmanJob> waitsFor = new LinkedHashSet<>();
+    /** Workers that wait for this client to read. */
+    private final Set<GearmanConnection> heldUp = new LinkedHashSet<>();
     private final GearmanServer server;
-    private final int maxPacket;
-    private GearmanWorker worker;
+    private final PacketDecoder decoder;
+    private final ClientSession session;
+    private WorkerSession worker;
     private String clientId = "-";
-    private boolean exceptions;
+    /** Waits for a client of its own to read. */
+    private boolean throttled;
+    /** Waits until there is room for a long packet. */
+    private boolean starved;
+    /** Room that its unfinished long packet holds: of workloads, or of what goes to clients. */
+    private int reserved;
+    private boolean reservedForJob;
+    private boolean spoken;
 
-    GearmanConnection(GearmanServer server, SocketChannel channel, int maxPacket) throws IOException {
-        super(server.loop, channel, maxPacket + Packet.HEADER);
+    GearmanConnection(GearmanServer server, SocketChannel channel) throws IOException {
+        super(server.loop, channel, Buffers.SIZE);
         this.server = server;
-        this.maxPacket = maxPacket;
+        decoder = new PacketDecoder(this, Packet.REQ, server.config.bounds().packet(), IN_PLACE);
+        session = new ClientSession(server, this);
     }
 
-    boolean wantsExceptions() {
-        return exceptions;
+    ClientSession session() {
+        return session;
     }
 
     String clientId() {
         return clientId;
     }
 
-    GearmanWorker worker() {
+    /** Null until it has said something that workers say. */
+    WorkerSession worker() {
         return worker;
     }
 
+    /** Whether it has said anything yet. */
+    boolean spoken() {
+        return spoken;
+    }
+
+    @Override
+    protected long mostWaiting() {
+        return (long) server.config.bounds().unread() + server.config.bounds().packet();
+    }
+
+    @Override
+    protected long mostDiscarded() {
+        return MOST_DISCARDED;
+    }
+
+    // ---- Input
+
     @Override
     protected void received(ByteBuffer in) {
-        while (in.hasRemaining() && !closed()) {
-            boolean whole = in.get(in.position()) == 0 ? packet(in) : line(in);
-            if (!whole) {
+        spoken = true;
+        while (in.hasRemaining() && !closed() && !ending() && !paused()) {
+            int before = in.position();
+            boolean packet = decoder.within() || in.get(before) == 0;
+            if (packet) {
+                decodeOne(in);
+            } else if (!line(in)) {
+                return;
+            }
+            if (in.position() == before) {
                 return;
             }
         }
     }
 
+    /** Packets up to the first byte that begins none: admin lines may stand between packets. */
+    private void decodeOne(ByteBuffer in) {
+        decoder.decode(in);
+    }
+
     private boolean line(ByteBuffer in) {
         for (int i = in.position(); i < in.limit(); i++) {
             byte c = in.get(i);
             if (c == '\n') {
                 byte[] text = new byte[i - in.position()];
                 in.get(text).get();
-                write(ByteBuffer.wrap(server.admin(new String(text, StandardCharsets.ISO_8859_1).trim())
-                    .getBytes(StandardCharsets.UTF_8)));
+                server.admin.answer(new String(text, StandardCharsets.UTF_8).trim(), this);
                 return true;
             }
-            if (c < ' ' && c != '\r' && c != '\t' || i - in.position() > MAX_LINE) {
-                refuse("BAD_MAGIC", "neither a packet nor an admin line");
+            if (c >= 0 && c < ' ' && c != '\r' && c != '\t' || i - in.position() > MAX_LINE
+                || i == in.position() && c < 0) {
+                broken("BAD_MAGIC", "neither a packet nor an admin line");
                 return false;
             }
         }
         return false;
     }
 
-    private boolean packet(ByteBuffer in) {
-        if (in.remaining() < Packet.HEADER) {
-            return false;
-        }
-        int at = in.position();
-        int magic = in.getInt(at);
-        int size = in.getInt(at + 8);
-        if (magic != Packet.REQ) {
-            refuse("BAD_MAGIC", "not a request packet");
-            return false;
-        }
-        if (size < 0 || size > maxPacket) {
-            refuse("TOO_LARGE", "a packet holds at most " + maxPacket + " bytes");
-            return false;
+    @Override
+    public boolean paused() {
+        return closed() || ending() || readingPaused();
+    }
+
+    @Override
+    public void unknown(int code) {
+        error("UNKNOWN_COMMAND", "a packet of no known kind: " + Integer.toUnsignedString(code));
+    }
+
+    @Override
+    public void broken(String code, String why) {
+        error(code, why);
+        server.dropping(this);
+        endWhenWritten();
+    }
+
+    @Override
+    public PacketDecoder.Verdict longPacket(Packet kind, int size) {
+        boolean job = kind.name().startsWith("SUBMIT_");
+        if (job && !server.budget.takeJob(size)) {
+            error("MEMORY_LIMIT", "max_memory_mb: workloads hold " + server.budget.jobs() + " bytes of "
+                + server.budget.mostJobs() + ", and this one has " + size);
+            return PacketDecoder.Verdict.SKIP;
         }
-        if (in.remaining() < Packet.HEADER + size) {
-            return false;
+        if (!job && !server.budget.takeResult(size, server.unread())) {
+            starved = true;
+            server.starved(this);
+            rein();
+            return PacketDecoder.Verdict.WAIT;
         }
-        in.position(at + Packet.HEADER);
-        ByteBuffer body = in.slice().limit(size);
-        in.position(at + Packet.HEADER + size);
-        Packet kind = Packet.of(in.getInt(at + 4));
-        if (kind == null) {
-            error("UNKNOWN_COMMAND", "a packet of no known kind");
-            return true;
+        reserved = size;
+        reservedForJob = job;
+        return PacketDecoder.Verdict.TAKE;
+    }
+
+    private void release() {
+        if (reserved > 0 && reservedForJob) {
+            server.budget.releaseJob(reserved);
+        } else if (reserved > 0) {
+            server.budget.releaseResult(reserved);
         }
-        byte[][] args = arguments(body, kind.arguments);
+        reserved = 0;
+    }
+
+    @Override
+    public void packet(Packet kind, Arguments args) {
         if (args == null) {
+            release();
             error("BAD_ARGUMENTS", kind + " needs " + kind.arguments + " arguments");
-        } else {
-            handle(kind, args);
+            return;
         }
-        return true;
-    }
-
-    /** Copies of the arguments; null when there are too few. */
-    private static byte[][] arguments(ByteBuffer body, int count) {
-        byte[][] args = new byte[count][];
-        for (int i = 0; i < count; i++) {
-            int length = body.remaining();
-            if (i < count - 1) {
-                length = 0;
-                while (length < body.remaining() && body.get(body.position() + length) != 0) {
-                    length++;
-                }
-                if (length == body.remaining()) {
-                    return null;
-                }
-            }
-            args[i] = new byte[length];
-            body.get(args[i]);
-            if (i < count - 1) {
-                body.get();
-            }
+        if (reservedForJob) {
+            release(); // the job takes its own room next
+        }
+        handle(kind, args);
+        release();
+        if (unwritten() > UNREAD_STOP) {
+            rein();
         }
-        return args;
     }
 
-    private void handle(Packet kind, byte[][] args) {
+    private void handle(Packet kind, Arguments args) {
         switch (kind) {
-            case SUBMIT_JOB -> server.submit(this, args, Mode.NORMAL, false);
-            case SUBMIT_JOB_HIGH -> server.submit(this, args, Mode.HIGH, false);
-            case SUBMIT_JOB_LOW -> server.submit(this, args, Mode.LOW, false);
-            case SUBMIT_JOB_BG, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW_BG ->
-                server.submit(this, args, Mode.BACKGROUND, true);
-            case GET_STATUS -> server.status(this, text(args[0]), false);
-            case GET_STATUS_UNIQUE -> server.status(this, text(args[0]), true);
-            case ECHO_REQ -> write(Packet.ECHO_RES.response(args[0]));
-            case OPTION_REQ -> option(text(args[0]));
+            case SUBMIT_JOB, SUBMIT_JOB_HIGH, SUBMIT_JOB_LOW, SUBMIT_JOB_BG, SUBMIT_JOB_HIGH_BG,
+                SUBMIT_JOB_LOW_BG,
+                SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BACKGROUND ->
+                session.submit(kind, args);
+            case GET_STATUS -> session.status(args.text(0), false);
+            case GET_STATUS_UNIQUE -> session.status(args.text(0), true);
+            case OPTION_REQ -> session.option(args.text(0));
+            case ECHO_REQ -> {
+                ByteBuffer echo = args.kept(0);
+                if (echo.remaining() > IN_PLACE) {
+                    write(Packet.ECHO_RES.responseBefore(echo.remaining()).limit(Packet.HEADER), echo);
+                } else {
+                    write(Packet.ECHO_RES.response(args.bytes(0)));
+                }
+            }
             case SET_CLIENT_ID -> {
-                clientId = text(args[0]).replaceAll("\\s", "_");
+                clientId = args.text(0).replaceAll("[\\s\\p{Cntrl}]", "_");
                 if (worker != null) {
-                    server.renamed(worker);
+                    worker.renamed();
                 }
             }
-            case CAN_DO -> server.canDo(asWorker(), text(args[0]), 0);
-            case CAN_DO_TIMEOUT -> canDo(text(args[0]), text(args[1]));
-            case CANT_DO -> server.cantDo(asWorker(), text(args[0]));
-            case RESET_ABILITIES -> server.reset(asWorker());
-            case PRE_SLEEP -> server.preSleep(asWorker());
-            case GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL -> server.grab(asWorker(), kind);
+            case CAN_DO -> canDo(args.text(0), "0");
+            case CAN_DO_TIMEOUT -> canDo(args.text(0), args.text(1));
+            case CANT_DO -> asWorker().cantDo(args.text(0));
+            case RESET_ABILITIES -> asWorker().resetAbilities();
+            case PRE_SLEEP -> asWorker().preSleep();
+            case GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL -> asWorker().grab(kind);
             case WORK_STATUS, WORK_DATA, WORK_WARNING, WORK_EXCEPTION, WORK_COMPLETE, WORK_FAIL ->
-                server.work(asWorker(), kind, args);
-            case ALL_YOURS -> { } // a promise that needs no answer
-            default -> error("UNKNOWN_COMMAND", kind + " is not for a job server");
+                asWorker().work(kind, args);
+            case ALL_YOURS -> asWorker(); // a promise to serve nobody else, which needs no answer
+            default -> error("UNKNOWN_COMMAND", kind + " is for a job server to say");
         }
     }
 
     private void canDo(String function, String seconds) {
         if (!seconds.matches("\\d{1,8}")) {
             error("BAD_ARGUMENTS", "CAN_DO_TIMEOUT needs a whole number of seconds");
+        } else if (!ClientSession.goodName(function)) {
+            error("BAD_ARGUMENTS", "no name for a function");
         } else {
-            server.canDo(asWorker(), function, Integer.parseInt(seconds));
+            asWorker().canDo(function, Integer.parseInt(seconds));
         }
     }
 
-    private void option(String name) {
-        if (name.equals("exceptions")) {
-            exceptions = true;
-            write(Packet.OPTION_RES.response(name));
-        } else {
-            error("UNKNOWN_OPTION", "the only option is 'exceptions'");
-        }
-    }
-
-    private GearmanWorker asWorker() {
+    private WorkerSession asWorker() {
         if (worker == null) {
             worker = server.newWorker(this);
         }
@@ -182,32 +240,55 @@
     }
 
     void error(String code, String message) {
-        server.counters().badInput++;
+        server.badInput++;
         write(Packet.ERROR.response(code, message));
     }
 
-    /** The frame is lost: nothing that follows can be understood. */
-    private void refuse(String code, String message) {
-        error(code, message);
-        closeWhenWritten();
-        if (!closed()) {
-            close();
+    // ---- Back pressure
+
+    /** A worker has written to this client: it waits if that is far behind in reading. */
+    void holdUp(GearmanConnection writer) {
+        if (unwritten() > PRESSURE && writer != this && !closed()) {
+            writer.throttled = true;
+            heldUp.add(writer);
+            writer.rein();
         }
     }
 
-    /** A peer that stops within a packet, or takes nothing that is written, is cut off; idle ones stay. */
-    void sweep(long now) {
-        if ((hasUnused() || unwritten() > 0) && now - lastActivity() > STALL_NS) {
-            close();
-        }
+    /** There may be room now for the long packet that waits. */
+    void retry() {
+        starved = false;
+        rein();
+    }
+
+    /** Whether input is read, by all that may speak against it. */
+    private void rein() {
+        pauseReading(throttled || starved || unwritten() > UNREAD_STOP);
+    }
+
+    @Override
+    protected void written() {
+        letGo();
+        rein();
     }
 
-    static String text(byte[] bytes) {
-        return new String(bytes, StandardCharsets.UTF_8);
+    private void letGo() {
+        if (!heldUp.isEmpty()) {
+            List<GearmanConnection> all = new ArrayList<>(heldUp);
+            heldUp.clear();
+            for (GearmanConnection each : all) {
+                each.throttled = false;
+                each.rein();
+            }
+        }
     }
 
-    static boolean same(byte[] bytes, String text) {
-        return Arrays.equals(bytes, text.getBytes(StandardCharsets.UTF_8));
+    /** A peer that stops within a packet, or takes nothing that is written, is cut off; idle ones stay. */
+    void sweep(long now, long stallNs) {
+        boolean within = (hasUnused() || decoder.within()) && !readingPaused();
+        if ((within || unwritten() > 0 || ending()) && now - lastActivity() > stallNs) {
+            close();
+        }
     }
 
     @Override
@@ -217,6 +298,12 @@
 
     @Override
     protected void released() {
+        release();
+        letGo();
+        session.lost();
+        if (worker != null) {
+            worker.lost();
+        }
         server.gone(this);
     }
 }
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -1,18 +1,14 @@
 package beechseam.gearman;
 
-import beechseam.Dispatching.Effect;
-import beechseam.Dispatching.ListForm;
-import beechseam.Dispatching.Load;
-import beechseam.Dispatching.Outcome;
-import beechseam.Dispatching.State;
-import beechseam.Dispatching.Worker;
 import beechseam.config.GearmanConfig;
 import beechseam.config.GearmanConfig.Mode;
 import beechseam.core.Counters;
-import beechseam.core.Egress;
-import beechseam.core.Engine;
-import beechseam.core.Hop;
 import beechseam.core.Timer;
+import beechseam.gearman.queue.Admission;
+import beechseam.gearman.queue.ByteBudget;
+import beechseam.gearman.queue.Cohorts.Member;
+import beechseam.gearman.queue.Cohorts.Place;
+import beechseam.gearman.queue.FunctionTurns;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
 import java.io.IOException;
@@ -21,34 +17,49 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
-/** A Gearman job server: clients are its ingress, workers its egress, and the core decides between them. */
-public final class GearmanServer implements Egress {
+/** A Gearman job server: joins connections, functions and jobs, and bounds what is held of each. */
+public final class GearmanServer {
     private static final Logger LOG = System.getLogger(GearmanServer.class.getName());
-    /**
-     * What the module is told of a free worker: one slot for the job, and one that it keeps back for a
-     * worthier class. The second is never used, since a worker that holds a job is out of service.
-     */
-    private static final Load FREE = new Load(0, 0, 2, Double.NaN, 0);
-    private static final int FUNCTION_BITS = 16;
     private static final long SWEEP_NS = 1_000_000_000L;
     private static final long LINGER_CHECK_NS = 20_000_000L;
+    /** Time for the last answers to be read. */
+    private static final long FAREWELL_NS = 1_000_000_000L;
+    /**
+     * A function that nobody has asked for so long costs nothing any more; one with no worker either is
+     * forgotten.
+     */
+    private static final long IDLE_NS = 10_000_000_000L;
+    /** Connections looked at when one must make room, from the oldest on. */
+    private static final int SILENT_LOOK = 64;
 
     final EventLoop loop;
-    private final GearmanConfig config;
-    private final Counters counters = new Counters();
-    private final Engine engine;
+    final GearmanConfig config;
+    final long seed;
+    final Jobs jobs;
+    final ByteBudget budget;
+    final Admission admission;
+    final Admin admin = new Admin(this);
+    long badInput;
+    private final Counters retired = new Counters();
     private final Listener listener;
     private final Set<GearmanConnection> connections = new LinkedHashSet<>();
-    private final Map<Long, GearmanWorker> workers = new LinkedHashMap<>();
-    private final Map<String, GearmanJob> jobs = new HashMap<>();
-    private final Map<String, GearmanJob> byKey = new HashMap<>();
+    private final Set<GearmanConnection> starved = new LinkedHashSet<>();
+    private final Map<String, GearmanFunction> functions = new LinkedHashMap<>();
+    private final Map<GearmanFunction, Map<WorkerSession, Member<WorkerSession>>> members = new HashMap<>();
+    /** Functions with waiting jobs. */
+    private final Set<GearmanFunction> hot = new LinkedHashSet<>();
+    private final FunctionTurns<GearmanFunction> turns;
+    private final Set<String> drained = new HashSet<>();
     private final Timer sweep = new Timer() {
         @Override
         protected void fire() {
@@ -56,13 +67,22 @@
         }
     };
     private long lastWorker;
-    private long lastJob;
     private boolean stopping;
+    private long stopBy;
+    private boolean farewell;
+    private Runnable onStop = () -> { };
 
     public GearmanServer(EventLoop loop, GearmanConfig config, long seed) throws IOException {
         this.loop = loop;
         this.config = config;
-        engine = new Engine(config.settings(), seed, loop::now, loop.timers, this, counters);
+        this.seed = seed;
+        budget = new ByteBudget(config.bounds().memory());
+        jobs = new Jobs(config.name(), budget);
+        admission = new Admission(new Admission.Limits(config.bounds().jobs(),
+            config.bounds().jobsPerClient()));
+        turns = new FunctionTurns<>(config.turns().ageingTurn(), config.turns().ageingNs());
+        config.functions().keySet().stream().filter(name -> !name.equals(GearmanConfig.ANY))
+            .forEach(name -> make(name).pinned = true);
         listener = new Listener(loop, config.listen(), this::accept);
         loop.timers.set(sweep, loop.now() + SWEEP_NS);
         LOG.log(Level.INFO, config.name() + " listens for Gearman on " + listener.address());
@@ -72,463 +92,394 @@
         return listener.address();
     }
 
+    /** What the modules of all functions have been told and have decided, those that are gone included. */
     public Counters counters() {
-        return counters;
+        Counters all = new Counters();
+        all.add(retired);
+        functions.values().forEach(f -> all.add(f.counters()));
+        all.badInput += badInput;
+        return all;
     }
 
-    private void accept(SocketChannel channel) throws IOException {
-        if (connections.size() >= config.maxConnections()) {
-            listener.accepting(false);
+    /** How a job was taken and ended, for operators: accepted is alive plus all that ended. */
+    public String figures() {
+        StringBuilder s = new StringBuilder("{\"accepted\":").append(jobs.accepted()).append(",\"alive\":")
+            .append(jobs.size());
+        for (Jobs.End end : Jobs.End.values()) {
+            s.append(",\"").append(end.name().toLowerCase(java.util.Locale.ROOT)).append("\":")
+                .append(jobs.ended(end));
         }
-        connections.add(new GearmanConnection(this, channel, config.maxPacket()));
+        return s.append(",\"workload_bytes\":").append(budget.jobs()).append(",\"connections\":")
+            .append(connections.size()).append(",\"functions\":").append(functions.size())
+            .append(",\"module\":")
+            .append(counters()).append('}').toString();
     }
 
-    private void sweep() {
-        long now = loop.now();
-        List.copyOf(connections).forEach(each -> each.sweep(now));
-        loop.timers.set(sweep, now + SWEEP_NS);
+    static String version() {
+        String version = GearmanServer.class.getPackage().getImplementationVersion();
+        return version == null ? "0" : version;
     }
 
-    /** Answers what clients wait for, then calls back; new jobs are turned away, unawaited ones dropped. */
-    public void stop(Runnable done) {
-        if (!stopping) {
-            stopping = true;
-            for (GearmanJob job : List.copyOf(jobs.values())) {
-                if (job.clients.isEmpty() && !job.running) {
-                    LOG.log(Level.WARNING, "stopping: the background job " + job.handle + " was not run");
-                    abandon(job);
-                }
+    String verbosity() {
+        for (Level level : new Level[] {Level.TRACE, Level.DEBUG, Level.INFO, Level.WARNING}) {
+            if (LOG.isLoggable(level)) {
+                return level.name();
             }
         }
-        if (engine.open() == 0) {
-            listener.close();
-            loop.timers.cancel(sweep);
-            List.copyOf(connections).forEach(GearmanConnection::close);
-            done.run();
-            return;
-        }
-        loop.timers.set(new Timer() {
-            @Override
-            protected void fire() {
-                stop(done);
-            }
-        }, loop.now() + LINGER_CHECK_NS);
+        return Level.ERROR.name();
     }
 
-    private void abandon(GearmanJob job) {
-        finished(job);
-        engine.left(job.request);
-    }
+    // ---- Connections
 
-    // ---- Clients
-
-    void submit(GearmanConnection client, byte[][] args, Mode mode, boolean background) {
-        String function = GearmanConnection.text(args[0]);
-        Integer index = config.functions().get(function);
-        String unique = GearmanConnection.text(args[1]);
-        if (index == null) {
-            client.error("UNKNOWN_FUNCTION", "no function of this name is served here");
-            return;
-        }
-        if (config.jobClass(index, mode).effect() == Effect.KEYED && unique.isEmpty()) {
-            client.error("NO_KEY", "jobs of this function need a unique key");
-            return;
+    private void accept(SocketChannel channel) throws IOException {
+        int most = config.bounds().connections();
+        connections.add(new GearmanConnection(this, channel));
+        if (connections.size() >= most && !evictSilent()) {
+            listener.accepting(false);
         }
-        // By the protocol "-" stands for the workload itself as the key.
-        String key = unique.isEmpty() ? "" : function + "\0" + (unique.equals("-")
-            ? new String(args[2], java.nio.charset.StandardCharsets.ISO_8859_1) : unique);
-        GearmanJob job = byKey.get(key); // none has the empty key
-        boolean fresh = job == null;
-        if (fresh) {
-            if (stopping || jobs.size() >= config.maxJobs()) {
-                client.error("QUEUE_FULL", stopping ? "the server is stopping" : "too many jobs");
-                return;
+    }
+
+    /**
+     * The oldest that has never said a word makes room: a crowd that opens and says nothing keeps nobody out.
+     */
+    private boolean evictSilent() {
+        int looked = 0;
+        for (GearmanConnection each : connections) {
+            if (!each.spoken()) {
+                each.close();
+                return true;
             }
-            job = new GearmanJob(this, "H:" + config.name() + ":" + ++lastJob, function, unique, key,
-                args[2], mode);
-            jobs.put(job.handle, job);
-            if (!key.isEmpty()) {
-                byKey.put(key, job);
+            if (++looked >= SILENT_LOOK && connections.size() > 4 * SILENT_LOOK) {
+                break;
             }
         }
-        job.background |= background;
-        client.write(Packet.JOB_CREATED.response(job.handle));
-        if (!background) {
-            job.clients.add(client);
-            client.waitsFor.add(job);
-        }
-        if (fresh) {
-            long budget = config.jobClass(index, mode).deadlineNs();
-            job.request = engine.take(job.handle, config.classOf(index, mode), budget, 1, 0, job, job);
+        for (GearmanConnection each : connections) { // rare: the oldest have all spoken
+            if (!each.spoken()) {
+                each.close();
+                return true;
+            }
         }
+        return false;
     }
 
-    /** The job has its final answer. */
-    void finished(GearmanJob job) {
-        jobs.remove(job.handle);
-        byKey.remove(job.key, job);
-        job.clients.forEach(each -> each.waitsFor.remove(job));
-        job.clients.clear();
+    Collection<GearmanConnection> connections() {
+        return connections;
     }
 
-    void status(GearmanConnection client, String name, boolean unique) {
-        GearmanJob job = unique ? jobs.values().stream().filter(each -> each.unique.equals(name)).findFirst()
-            .orElse(null) : jobs.get(name);
-        String known = job == null ? "0" : "1";
-        String running = job != null && job.running ? "1" : "0";
-        String numerator = job == null ? "0" : job.numerator;
-        String denominator = job == null ? "0" : job.denominator;
-        client.write(unique ? Packet.STATUS_RES_UNIQUE.response(name, known, running, numerator, denominator,
-                job == null ? 0 : job.clients.size())
-            : Packet.STATUS_RES.response(name, known, running, numerator, denominator));
+    /** Bytes that peers have been sent and have not read; O(connections), asked for long packets only. */
+    long unread() {
+        long sum = 0;
+        for (GearmanConnection each : connections) {
+            sum += each.unwritten();
+        }
+        return sum;
     }
 
-    /** A connection is gone: its jobs lose a client, its worker is lost. */
-    void gone(GearmanConnection connection) {
-        connections.remove(connection);
-        if (connections.size() < config.maxConnections() && !stopping) {
-            listener.accepting(true);
+    void starved(GearmanConnection c) {
+        starved.add(c);
+    }
+
+    private void retryStarved() {
+        if (!starved.isEmpty()) {
+            List<GearmanConnection> all = new ArrayList<>(starved);
+            starved.clear();
+            all.forEach(GearmanConnection::retry);
         }
-        for (GearmanJob job : List.copyOf(connection.waitsFor)) {
-            job.clients.remove(connection);
-            if (job.clients.isEmpty() && !job.background && job.request != null) {
-                abandon(job);
+    }
+
+    /** A worker has sent data of a job: it waits for clients that are far behind in reading. */
+    void pressure(GearmanConnection writer, GearmanJob job) {
+        if (job.clientCount() > 0) {
+            for (GearmanConnection each : job.clients()) {
+                each.holdUp(writer);
             }
         }
-        if (connection.worker() != null) {
-            lost(connection.worker());
-        }
     }
 
-    // ---- Workers
-
-    GearmanWorker newWorker(GearmanConnection connection) {
-        GearmanWorker w = new GearmanWorker(++lastWorker, connection, config.place(connection.clientId()));
-        workers.put(w.number, w);
-        return w;
+    /** It is being cut off; what it waits for goes on without it. */
+    void dropping(GearmanConnection c) {
+        LOG.log(Level.DEBUG, "cut off for what it sent: " + c.peer());
     }
 
-    private long target(GearmanWorker w, String function) {
-        return w.number << FUNCTION_BITS | config.functions().get(function);
+    void gone(GearmanConnection connection) {
+        connections.remove(connection);
+        starved.remove(connection);
+        if (connections.size() < config.bounds().connections() && !stopping) {
+            listener.accepting(true);
+        }
+        retryStarved();
     }
 
-    /** Tells the module of the worker's rows when they have changed, or {@code anyway}. */
-    private void show(GearmanWorker w, boolean anyway) {
-        boolean free = w.free();
-        if (free == w.shownFree && !anyway) {
-            return;
-        }
-        w.shownFree = free;
-        List<Worker> lines = new ArrayList<>();
-        for (String function : w.abilities.keySet()) {
-            lines.add(row(w, function, free ? State.READY : State.DRAINING));
-        }
-        if (!lines.isEmpty()) {
-            engine.routes(ListForm.CHANGES, lines);
+    private void sweep() {
+        long now = loop.now();
+        List.copyOf(connections).forEach(each -> each.sweep(now, config.turns().stallNs()));
+        retryStarved();
+        for (GearmanFunction f : new ArrayList<>(functions.values())) {
+            f.rest(IDLE_NS);
+            if (!f.awake() && f.empty()) {
+                forget(f);
+            }
         }
+        loop.timers.set(sweep, now + SWEEP_NS);
     }
 
-    private Worker row(GearmanWorker w, String function, State state) {
-        return new Worker(target(w, function), w.place.cell(), w.place.zone(), function, 0, state);
+    // ---- Functions
+
+    Collection<GearmanFunction> functions() {
+        return functions.values();
     }
 
-    void renamed(GearmanWorker w) {
-        w.place = config.place(w.connection.clientId());
-        show(w, true);
+    GearmanFunction find(String name) {
+        return functions.get(name);
     }
 
-    void canDo(GearmanWorker w, String function, int seconds) {
-        if (!config.functions().containsKey(function)) {
-            LOG.log(Level.INFO, "a worker offers a function that the operator's file does not name");
-            return;
-        }
-        if (w.abilities.put(function, seconds) == null) {
-            engine.routes(ListForm.CHANGES, List.of(row(w, function, State.DRAINING)));
-            engine.probed(target(w, function), true, FREE);
-            show(w, true);
+    /**
+     * The function of a name, made if need be; null where it cannot be, and {@code asker} (if any) is told
+     * why.
+     */
+    GearmanFunction function(String name, GearmanConnection asker) {
+        GearmanFunction f = functions.get(name);
+        if (f != null) {
+            return f;
+        }
+        String code;
+        String why;
+        if (name.equals(GearmanConfig.ANY) || config.function(name) == null) {
+            code = "UNKNOWN_FUNCTION";
+            why = "no function of this name is served here";
+        } else if (functions.size() >= config.bounds().functions()) {
+            code = "FUNCTION_LIMIT";
+            why = "max_functions: " + functions.size() + " functions are alive, the most that may";
+        } else {
+            return make(name);
+        }
+        if (asker != null) {
+            asker.error(code, why);
         }
+        return null;
     }
 
-    /** Withdrawn: what waits for it goes elsewhere, and nothing new comes. */
-    void cantDo(GearmanWorker w, String function) {
-        if (w.abilities.remove(function) == null) {
-            return;
-        }
-        engine.routes(ListForm.CHANGES, List.of(row(w, function, State.GONE)));
-        for (Hop hop : List.copyOf(w.parked)) {
-            if (job(hop).function.equals(function)) {
-                w.parked.remove(hop);
-                withhold(hop);
-            }
-        }
-        show(w, false);
+    private GearmanFunction make(String name) {
+        GearmanFunction f = new GearmanFunction(this, name, config.function(name));
+        functions.put(name, f);
+        members.put(f, new LinkedHashMap<>());
+        return f;
     }
 
-    void reset(GearmanWorker w) {
-        List.copyOf(w.abilities.keySet()).forEach(each -> cantDo(w, each));
+    /** It stands empty with no worker. */
+    void forget(GearmanFunction f) {
+        f.close();
+        functions.remove(f.name);
+        members.remove(f);
+        retired.add(f.counters());
     }
 
-    void preSleep(GearmanWorker w) {
-        w.asleep = true;
-        w.asked = true;
-        if (w.parked.isEmpty()) {
-            offer(w);
+    void hot(GearmanFunction f, boolean on) {
+        if (on) {
+            hot.add(f);
+        } else {
+            hot.remove(f);
         }
-        wake(w);
     }
 
-    private void wake(GearmanWorker w) {
-        if (w.asleep && !w.parked.isEmpty() && w.running == null) {
-            w.asleep = false;
-            w.connection.write(Packet.NOOP.response());
-        }
+    // ---- Workers
+
+    WorkerSession newWorker(GearmanConnection connection) {
+        return new WorkerSession(this, ++lastWorker, connection);
     }
 
-    /** It is free: the module may place a job there, or one that waits for a busy worker is handed back. */
-    private void offer(GearmanWorker w) {
-        show(w, false);
-        if (!w.free()) {
-            return;
-        }
-        for (GearmanWorker other : workers.values()) {
-            for (Hop hop : other.parked) {
-                if (other.running != null && w.abilities.containsKey(job(hop).function)) {
-                    other.parked.remove(hop);
-                    engine.ended(hop, Outcome.NOT_SENT, null, null);
-                    return;
-                }
-            }
-        }
+    Place place(String clientId) {
+        GearmanConfig.Place place = config.place(clientId);
+        return new Place(place.zone(), place.cell());
     }
 
-    void grab(GearmanWorker w, Packet how) {
-        w.asleep = false;
-        if (w.running == null) {
-            w.asked = true;
-            if (w.parked.isEmpty()) {
-                offer(w);
-            }
-            Hop hop = next(w);
-            if (hop != null) {
-                assign(w, hop, how);
-                return;
-            }
-            show(w, false);
-        }
-        w.connection.write(Packet.NO_JOB.response());
+    void joined(GearmanFunction f, WorkerSession w, Member<WorkerSession> m) {
+        members.get(f).put(w, m);
     }
 
-    /** The next that waits here, checked again at the last moment. */
-    private Hop next(GearmanWorker w) {
-        for (Hop hop = w.parked.poll(); hop != null; hop = w.parked.poll()) {
-            if (!hop.over() && w.abilities.containsKey(job(hop).function)) {
-                return hop;
-            }
-            withhold(hop);
-        }
-        return null;
+    void parted(GearmanFunction f, WorkerSession w) {
+        members.get(f).remove(w);
     }
 
-    private void withhold(Hop hop) {
-        if (!hop.over()) {
-            counters.withheld++;
-            engine.ended(hop, Outcome.NOT_SENT, null, null);
-        }
+    Map<WorkerSession, Member<WorkerSession>> members(GearmanFunction f) {
+        return members.get(f);
     }
 
-    private void assign(GearmanWorker w, Hop hop, Packet how) {
-        GearmanJob job = job(hop);
-        w.running = hop;
-        w.asked = false;
-        hop.begun();
-        disarm(w);
-        job.running = true;
-        w.connection.write(switch (how) {
-            case GRAB_JOB_UNIQ -> Packet.JOB_ASSIGN_UNIQ.response(job.handle, job.function, job.unique,
-                job.workload);
-            case GRAB_JOB_ALL -> Packet.JOB_ASSIGN_ALL.response(job.handle, job.function, job.unique, "",
-                job.workload);
-            default -> Packet.JOB_ASSIGN.response(job.handle, job.function, job.workload);
-        });
-        show(w, false);
-        int seconds = w.abilities.get(job.function);
-        if (seconds > 0) {
-            w.limit = new Timer() {
-                @Override
-                protected void fire() { // the worker's own limit: it may still run there
-                    engine.ended(hop, Outcome.TIMEOUT, null, null);
-                }
-            };
-            loop.timers.set(w.limit, loop.now() + seconds * 1_000_000_000L);
-        }
-        engine.started(hop);
+    boolean drained(String clientId) {
+        return drained.contains(clientId);
     }
 
-    private void disarm(GearmanWorker w) {
-        if (w.limit != null) {
-            loop.timers.cancel(w.limit);
-            w.limit = null;
-        }
-        if (w.grab != null) {
-            loop.timers.cancel(w.grab);
-            w.grab = null;
+    /**
+     * Workers of a client id get nothing new from now on, those that connect later included; or may again.
+     */
+    void drain(String clientId, boolean on) {
+        if (on) {
+            drained.add(clientId);
+        } else {
+            drained.remove(clientId);
+        }
+        for (GearmanConnection each : List.copyOf(connections)) {
+            if (each.worker() != null && each.clientId().equals(clientId)) {
+                each.worker().drain(on);
+            }
         }
+        LOG.log(Level.INFO, "workers of client id " + clientId + (on ? " get nothing new"
+            : " may serve again"));
     }
 
-    void work(GearmanWorker w, Packet kind, byte[][] args) {
-        Hop hop = w.running;
-        if (hop == null || !GearmanConnection.same(args[0], job(hop).handle)) {
-            w.connection.error("JOB_NOT_FOUND", "this worker holds no such job");
-            return;
-        }
-        GearmanJob job = job(hop);
-        boolean live = !hop.over() && !hop.request.finished();
-        switch (kind) {
-            case WORK_COMPLETE -> end(w, hop, Outcome.SERVED, args[1]);
-            case WORK_FAIL -> end(w, hop, Outcome.ERROR, null);
-            case WORK_STATUS -> {
-                if (live && job.speaks(hop)) {
-                    job.numerator = GearmanConnection.text(args[1]);
-                    job.denominator = GearmanConnection.text(args[2]);
-                    job.forward(kind, job.handle, args[1], args[2]);
-                    progress(hop, job);
+    /** A worker may have become free: jobs of functions that it can do go before their modules, in turns. */
+    void feed(WorkerSession w) {
+        while (w.free() && !hot.isEmpty()) {
+            turns.begin(loop.now());
+            if (w.functionCount() < hot.size()) {
+                for (String name : w.functions()) {
+                    offer(functions.get(name));
                 }
-            }
-            default -> {
-                if (live && job.speaks(hop)) {
-                    job.forward(kind, job.handle, args[1]);
+            } else {
+                for (GearmanFunction f : hot) {
+                    if (w.can(f)) {
+                        offer(f);
+                    }
                 }
             }
-        }
-    }
-
-    private void progress(Hop hop, GearmanJob job) {
-        try {
-            double share = Double.parseDouble(job.numerator) / Double.parseDouble(job.denominator);
-            if (share >= 0 && share <= 1) {
-                engine.progress(hop, share);
+            GearmanFunction f = turns.chosen();
+            if (f == null) {
+                return;
             }
-        } catch (NumberFormatException e) {
-            LOG.log(Level.DEBUG, "a status that is no share");
+            f.admit();
         }
     }
 
-    /** The worker has ended what it held; it is free once it asks again. */
-    private void end(GearmanWorker w, Hop hop, Outcome outcome, byte[] result) {
-        disarm(w);
-        w.running = null;
-        job(hop).running = false;
-        engine.ended(hop, outcome, result, FREE);
-    }
-
-    private void lost(GearmanWorker w) {
-        workers.remove(w.number);
-        disarm(w);
-        List<Worker> lines = new ArrayList<>();
-        w.abilities.keySet().forEach(each -> lines.add(row(w, each, State.GONE)));
-        if (!lines.isEmpty()) {
-            engine.routes(ListForm.CHANGES, lines);
+    private void offer(GearmanFunction f) {
+        if (f.awake() && f.admits()) {
+            turns.offer(f);
         }
-        w.abilities.clear();
-        if (w.running != null) { // it may have run to any point: the class decides whether it may again
-            job(w.running).running = false;
-            engine.ended(w.running, Outcome.LOST, null, null);
-        }
-        List<Hop> waiting = List.copyOf(w.parked);
-        w.parked.clear();
-        waiting.forEach(this::withhold);
     }
 
-    // ---- Egress
-
-    private static GearmanJob job(Hop hop) {
-        return (GearmanJob) hop.request.message;
-    }
+    // ---- Jobs
 
-    @Override
-    public void send(Hop hop) {
-        GearmanWorker w = workers.get(hop.target >> FUNCTION_BITS);
-        if (w == null || !w.abilities.containsKey(job(hop).function)) {
-            engine.ended(hop, Outcome.NOT_SENT, null, null);
+    /** The job has its final answer, or needs none. */
+    void finished(GearmanJob job, Jobs.End how) {
+        if (job.over()) {
             return;
         }
-        w.parked.add(hop);
-        show(w, false);
-        wake(w);
-        if (w.running == null && w.grab == null) {
-            w.grab = new Timer() {
-                @Override
-                protected void fire() {
-                    unanswered(w);
-                }
-            };
-            loop.timers.set(w.grab, loop.now() + config.grabTimeoutNs());
+        job.function.ended(job);
+        jobs.end(job, how);
+        job.submitter.open--;
+        for (GearmanConnection each : job.clients()) {
+            each.session().ended(job);
         }
+        job.finish();
+        retryStarved();
     }
 
-    /** Called and not come: what waits for it never ran. */
-    private void unanswered(GearmanWorker w) {
-        w.grab = null;
-        w.asked = false;
-        List<Hop> waiting = List.copyOf(w.parked);
-        w.parked.clear();
-        waiting.forEach(each -> engine.ended(each, Outcome.UNREACHABLE, null, null));
+    /** Nobody needs it any more. */
+    void abandon(GearmanJob job, Jobs.End how) {
+        boolean queued = job.stage != GearmanJob.Stage.MODULE;
+        if (queued) {
+            job.function.withdraw(job);
+        }
+        finished(job, how);
+        if (!queued && job.request != null) {
+            job.function.engine().left(job.request);
+        }
     }
 
-    @Override
-    public void cancel(Hop hop) {
-        GearmanWorker w = workers.get(hop.target >> FUNCTION_BITS);
-        if (w != null && w.parked.remove(hop) && w.parked.isEmpty()) {
-            show(w, false);
+    /** An operator gives it up before it has begun; its clients are told that it failed. */
+    void cancel(GearmanJob job) {
+        boolean queued = job.stage != GearmanJob.Stage.MODULE;
+        if (queued) {
+            job.function.withdraw(job);
+        }
+        job.fail(Jobs.End.CANCELLED);
+        if (!queued) {
+            job.function.engine().left(job.request);
         }
     }
 
-    @Override
-    public void probe(long target) {
-        engine.probed(target, workers.containsKey(target >> FUNCTION_BITS), null);
-    }
+    // ---- The end
 
-    // ---- Admin
+    boolean stopping() {
+        return stopping;
+    }
 
-    String admin(String line) {
-        return switch (line) {
-            case "status" -> statusLines();
-            case "workers" -> workerLines();
-            case "version" -> "OK " + version() + "\n";
-            case "counters" -> counters + "\n";
-            default -> "ERR UNKNOWN_COMMAND Unknown+server+command\n";
-        };
+    /** What an operator's {@code shutdown} brings about once all has ended. */
+    public void onShutDown(Runnable action) {
+        onStop = action;
     }
 
-    private static String version() {
-        String version = GearmanServer.class.getPackage().getImplementationVersion();
-        return version == null ? "0" : version;
+    /** By an admin line; without {@code graceful} nothing is waited for. */
+    void shutDown(boolean graceful) {
+        LOG.log(Level.INFO, "shutdown by an admin line" + (graceful ? ", graceful" : ""));
+        if (!graceful) {
+            stopBy = loop.now() + LINGER_CHECK_NS;
+        }
+        loop.post(onStop);
     }
 
-    private String statusLines() {
-        StringBuilder s = new StringBuilder();
-        for (String function : config.functions().keySet().stream().sorted().toList()) {
-            long total = jobs.values().stream().filter(each -> each.function.equals(function)).count();
-            long running = workers.values().stream()
-                .filter(each -> each.running != null && job(each.running).function.equals(function)).count();
-            long able = workers.values().stream()
-                .filter(each -> each.abilities.containsKey(function)).count();
-            s.append(String.join("\t", function, "" + total, "" + running, "" + able)).append('\n');
+    /**
+     * Answers what clients wait for, at the latest by {@code stop_within_ms}, then calls back. New jobs are
+     * turned away, and what waits in the background is dropped and counted.
+     */
+    public void stop(Runnable done) {
+        if (!stopping) {
+            stopping = true;
+            stopBy = stopBy > 0 ? stopBy : loop.now() + config.turns().stopWithinNs();
+            drop(false);
         }
-        return s.append(".\n").toString();
+        long now = loop.now();
+        boolean late = now >= stopBy;
+        if (late && jobs.size() > 0) {
+            drop(true);
+        }
+        if (jobs.size() == 0 && !farewell) {
+            farewell = true;
+            stopBy = now + FAREWELL_NS;
+            listener.close();
+            loop.timers.cancel(sweep);
+            List.copyOf(connections).forEach(GearmanConnection::closeWhenWritten);
+        }
+        if (farewell && (connections.isEmpty() || now >= stopBy)) {
+            List.copyOf(connections).forEach(GearmanConnection::close);
+            functions.values().forEach(GearmanFunction::close);
+            done.run();
+            return;
+        }
+        loop.timers.set(new Timer() {
+            @Override
+            protected void fire() {
+                stop(done);
+            }
+        }, now + LINGER_CHECK_NS);
     }
 
-    private String workerLines() {
-        StringBuilder s = new StringBuilder();
-        for (GearmanConnection each : connections) {
-            GearmanWorker w = each.worker();
-            s.append(w == null ? 0 : w.number).append(' ').append(each.peer()).append(' ')
-                .append(each.clientId()).append(" :");
-            if (w != null) {
-                w.abilities.keySet().forEach(function -> s.append(' ').append(function));
+    /** Jobs that nobody waits for and that have not begun; with {@code all}, whatever is left, answered. */
+    private void drop(boolean all) {
+        Map<String, Integer> dropped = new TreeMap<>();
+        for (GearmanJob job : new ArrayList<>(jobs.all())) {
+            boolean waited = job.clientCount() > 0;
+            if (job.over() || !all && (waited || job.running())) {
+                continue;
+            }
+            if (!waited) {
+                dropped.merge(job.function.name, 1, Integer::sum);
+                abandon(job, Jobs.End.LOST);
+            } else if (job.stage == GearmanJob.Stage.MODULE && job.placed) {
+                job.fail(Jobs.End.FAILED); // it may have run
+                job.function.engine().left(job.request);
+            } else {
+                boolean queued = job.stage != GearmanJob.Stage.MODULE;
+                if (queued) {
+                    job.function.withdraw(job);
+                }
+                job.shed(config.limits().maxRetryAfterNs());
+                if (!queued) {
+                    job.function.engine().left(job.request);
+                }
             }
-            s.append('\n');
         }
-        return s.append(".\n").toString();
+        dropped.forEach((name, count) -> LOG.log(Level.WARNING, "stopping: " + count
+            + " background jobs of " + name
+            + (all ? " had not ended" : " were not run")));
     }
 }
--- /dev/null
+++ b/src/main/java/beechseam/gearman/protocol/Arguments.java
@@ -0,0 +1,84 @@
+package beechseam.gearman.protocol;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The arguments of one packet as slices of where its body lies; none is copied until it is asked for as bytes
+ * or text. A body that the decoder read into an array of its own may be kept as it is; another is void after
+ * the call.
+ */
+public final class Arguments {
+    private final byte[] array;
+    private final int[] from;
+    private final int[] to;
+    private final boolean owned;
+
+    private Arguments(byte[] array, int count, boolean owned) {
+        this.array = array;
+        this.owned = owned;
+        from = new int[count];
+        to = new int[count];
+    }
+
+    /**
+     * Parts a body at its NULs; the last argument takes the rest, NULs and all.
+     *
+     * @param owned whether the array is the packet's own
+     * @return null when there are too few; extra NULs are part of the last
+     */
+    public static Arguments of(byte[] array, int offset, int length, int count, boolean owned) {
+        Arguments a = new Arguments(array, count, owned);
+        int at = offset;
+        int end = offset + length;
+        for (int i = 0; i < count; i++) {
+            a.from[i] = at;
+            if (i == count - 1) {
+                at = end;
+            } else {
+                while (at < end && array[at] != 0) {
+                    at++;
+                }
+                if (at == end) {
+                    return null;
+                }
+            }
+            a.to[i] = at++;
+        }
+        return a;
+    }
+
+    public int count() {
+        return from.length;
+    }
+
+    public int length(int i) {
+        return to[i] - from[i];
+    }
+
+    /** As text; bytes that are no UTF-8 become the replacement character. */
+    public String text(int i) {
+        return new String(array, from[i], length(i), StandardCharsets.UTF_8);
+    }
+
+    /** A copy. */
+    public byte[] bytes(int i) {
+        return java.util.Arrays.copyOfRange(array, from[i], to[i]);
+    }
+
+    /** One that outlives the packet: its own array is kept, any other copied. */
+    public ByteBuffer kept(int i) {
+        return owned ? ByteBuffer.wrap(array, from[i], length(i)) : ByteBuffer.wrap(bytes(i));
+    }
+
+    /** Whether argument i is all that the given text is, byte for byte. */
+    public boolean is(int i, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return java.util.Arrays.equals(array, from[i], to[i], bytes, 0, bytes.length);
+    }
+
+    /** Whether the body lies in an array of its own. */
+    public boolean owned() {
+        return owned;
+    }
+}
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -15,10 +15,10 @@
  * them.
  */
 public abstract class Connection implements EventLoop.Ready {
-    /** The most bytes that may wait to be written: a peer that reads no answers must not fill the heap. */
     private static final int MOST_WAITING = 512 * 1024;
-    /** The most that is read and dropped from a peer that goes on sending after the last answer. */
     private static final int MOST_DISCARDED = 1024 * 1024;
+    /** Written at once at most: the runtime copies each piece into direct memory, which is scarce. */
+    private static final int PIECE = 64 * 1024;
 
     protected final EventLoop loop;
     private final SocketChannel channel;
@@ -31,8 +31,9 @@
     private boolean closed;
     private boolean closeWhenWritten;
     private boolean ending;
-    private int discarded;
+    private long discarded;
     private boolean full;
+    private boolean readPaused;
     private long lastActivity;
 
     /** An accepted channel, or null for one that {@link #connect} opens; {@code mostRead} bytes are held. */
@@ -63,8 +64,39 @@
     /** It is gone, by either side; called once, unless {@link #close} was called here. */
     protected abstract void lost(IOException why);
 
+    /** The most bytes that may wait to be written: a peer that reads no answers must not fill the heap. */
+    protected long mostWaiting() {
+        return MOST_WAITING;
+    }
+
+    /** The most that is read and dropped from a peer that goes on sending after the last answer, in bytes. */
+    protected long mostDiscarded() {
+        return MOST_DISCARDED;
+    }
+
     // ---- What its owner does
 
+    /**
+     * Back pressure: nothing more is read until it is called with false; what is unread then is offered
+     * again.
+     */
+    public final void pauseReading(boolean on) {
+        if (on == readPaused || closed) {
+            return;
+        }
+        readPaused = on;
+        if (!connecting) {
+            interest();
+        }
+        if (!on) { // not within a callback of this or another connection, which may still hold the buffer
+            loop.post(this::again);
+        }
+    }
+
+    public final boolean readingPaused() {
+        return readPaused;
+    }
+
     protected final void connect(SocketAddress to) {
         try {
             boolean up = channel.connect(to);
@@ -184,9 +216,11 @@
 
     /** Bytes read and not used up are offered again. */
     public final void again() {
-        if (in != null && !closed) {
+        if (in != null && !closed && !readPaused && in.position() > 0) {
             offer();
-            interest();
+            if (!closed) {
+                interest();
+            }
         }
     }
 
@@ -247,7 +281,7 @@
         if (n > 0 && ending) {
             in.clear();
             discarded += n;
-            if (discarded > MOST_DISCARDED) {
+            if (discarded > mostDiscarded()) {
                 close();
             }
         } else if (n > 0) {
@@ -276,7 +310,7 @@
         full = in != null && in.position() >= mostRead && !ending;
         if (key != null && key.isValid()) {
             // A full buffer that nobody uses up stops the reading, not the heap.
-            key.interestOps((full ? 0 : SelectionKey.OP_READ)
+            key.interestOps((full || readPaused && !ending ? 0 : SelectionKey.OP_READ)
                 | (waitingBytes > 0 ? SelectionKey.OP_WRITE : 0));
         }
     }
@@ -285,21 +319,27 @@
         try {
             while (!waiting.isEmpty()) {
                 ByteBuffer next = waiting.peekFirst();
+                int end = next.limit();
+                next.limit(Math.min(end, next.position() + PIECE));
                 int n = channel.write(next);
+                boolean taken = !next.hasRemaining();
+                next.limit(end);
                 waitingBytes -= n;
                 if (n > 0) {
                     lastActivity = loop.now();
                 }
-                if (next.hasRemaining()) {
+                if (!taken) {
                     break;
                 }
-                waiting.removeFirst();
+                if (!next.hasRemaining()) {
+                    waiting.removeFirst();
+                }
             }
         } catch (IOException e) {
             fail(e);
             return;
         }
-        if (waitingBytes > MOST_WAITING) {
+        if (waitingBytes > mostWaiting()) {
             fail(new IOException("the peer does not read"));
         } else if (waitingBytes == 0 && closeWhenWritten) {
             finish();
