--- a/src/main/java/beechseam/cli/CheckConfig.java
+++ b/src/main/java/beechseam/cli/CheckConfig.java
@@ -17,8 +17,16 @@
     @Parameter(names = "--gearman", description = "An operator's file for Gearman's protocol")
     private String gearman;
 
+    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
+    private boolean help;
+
+    @Override
+    public boolean helpWanted() {
+        return help;
+    }
+
     @Override
-    public void run() throws ConfigException {
+    public int run() throws ConfigException {
         Map<String, String> environment = new HashMap<>(System.getenv());
         if (config != null) {
             environment.put("PROXY_CONFIG", config);
@@ -28,12 +36,13 @@
             System.out.println("good: " + second.name() + " on " + second.listen() + ", "
                 + second.functions().size() + " functions");
             if (!environment.containsKey("PROXY_CONFIG")) {
-                return;
+                return 0;
             }
         }
         NodeConfig node = NodeConfig.of(environment);
         System.out.println("good: " + node.name() + " on " + node.listen() + ", "
             + node.options().settings.classes().size() + " classes, " + node.known().servers().size()
             + " servers known");
+        return 0;
     }
 }
--- a/src/main/java/beechseam/cli/Import.java
+++ b/src/main/java/beechseam/cli/Import.java
@@ -23,8 +23,16 @@
     @Parameter(names = "--zone", description = "The zone of workers whose file names none")
     private String zone = "-";
 
+    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
+    private boolean help;
+
+    @Override
+    public boolean helpWanted() {
+        return help;
+    }
+
     @Override
-    public void run() throws IOException, ConfigException {
+    public int run() throws IOException, ConfigException {
         Importer importer = new Importer();
         StringWriter list = new StringWriter();
         try {
@@ -35,5 +43,6 @@
         importer.warnings().forEach(each -> System.err.println("beechseam: " + each));
         PrintWriter out = new PrintWriter(System.out, true);
         out.println(list);
+        return 0;
     }
 }
--- /dev/null
+++ b/src/main/java/beechseam/cli/LoadGearman.java
@@ -0,0 +1,90 @@
+package beechseam.cli;
+
+import beechseam.config.ConfigException;
+import beechseam.config.Json;
+import beechseam.load.GearmanLoad;
+import beechseam.load.GearmanLoad.Row;
+import beechseam.load.GearmanLoad.Scenario;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Measures the Gearman front with stand-in clients and workers on loopback; a server of its own for each run.
+ */
+@Parameters(commandDescription = "Measure the Gearman front under load on this machine")
+final class LoadGearman implements Main.Command {
+    @Parameter(description = "workers, fair, queued, memory, stop; all of them if none is named")
+    private List<Scenario> scenarios = new ArrayList<>();
+
+    @Parameter(names = "--seconds", description = "How long each measurement lasts")
+    private double seconds = 3;
+
+    @Parameter(names = "--sizes",
+        description = "Numbers of workers, or of queued jobs, in place of the usual ones")
+    private List<Integer> sizes = new ArrayList<>();
+
+    @Parameter(names = "--jvm",
+        description = "An option of the server's runtime, such as -Xmx1g; may be repeated")
+    private List<String> jvm = new ArrayList<>();
+
+    @Parameter(names = "--json", description = "Write the results to this file as well")
+    private String json;
+
+    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
+    private boolean help;
+
+    @Override
+    public boolean helpWanted() {
+        return help;
+    }
+
+    @Override
+    public int run() throws IOException, ConfigException {
+        if (!(seconds > 0 && seconds <= 600)) {
+            throw new ConfigException("--seconds", "must be over 0 and at most 600, not " + seconds);
+        }
+        List<Row> rows = new ArrayList<>();
+        GearmanLoad load = new GearmanLoad(seconds, jvm, System.out::println);
+        try {
+            for (Scenario each : scenarios.isEmpty() ? List.of(Scenario.values()) : scenarios) {
+                rows.addAll(load.play(each, sizes.isEmpty() ? usual(each) : sizes));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted");
+        }
+        if (json != null) {
+            try (var out = Files.newOutputStream(Path.of(json));
+                 JsonGenerator g = Json.FACTORY.createGenerator(out)) {
+                g.useDefaultPrettyPrinter().writeStartArray();
+                for (Row row : rows) {
+                    g.writeStartObject();
+                    g.writeStringField("scenario", row.scenario());
+                    for (Map.Entry<String, Object> f : row.figures().entrySet()) {
+                        g.writeNumberField(f.getKey(), ((Number) f.getValue()).doubleValue());
+                    }
+                    g.writeEndObject();
+                }
+                g.writeEndArray();
+            }
+        }
+        return 0;
+    }
+
+    private static List<Integer> usual(Scenario scenario) {
+        return switch (scenario) {
+            case WORKERS -> List.of(1, 16, 64, 256, 800);
+            case QUEUED -> List.of(1_000, 100_000, 1_000_000);
+            case MEMORY -> List.of(100_000, 1_000_000);
+            case STOP -> List.of(90_000);
+            case FAIR -> List.of();
+        };
+    }
+}
--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -13,23 +13,31 @@
 public final class Main {
     /** A sub-command: done when it returns. */
     interface Command {
-        void run() throws IOException, ConfigException;
+        /** Gives the process's exit status. */
+        int run() throws IOException, ConfigException;
+
+        /** Whether its options are to be shown in place of running it. */
+        default boolean helpWanted() {
+            return false;
+        }
     }
 
     @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
     private static final class WireHost implements Command {
         @Override
-        public void run() {
+        public int run() {
             beechseam.sim.Adapter.main(new String[0]);
+            return 0;
         }
     }
 
     @Parameters(commandDescription = "Print the version")
     private static final class Version implements Command {
         @Override
-        public void run() {
+        public int run() {
             String version = Main.class.getPackage().getImplementationVersion();
             System.out.println("beechseam " + (version == null ? "(not packaged)" : version));
+            return 0;
         }
     }
 
@@ -53,6 +61,9 @@
         commands.put("wirehost", new WireHost());
         commands.put("import", new Import());
         commands.put("check-config", new CheckConfig());
+        commands.put("schema", new Schema());
+        commands.put("conformance", new Conformance());
+        commands.put("load-gearman", new LoadGearman());
         commands.put("version", new Version());
         Main main = new Main();
         JCommander.Builder builder = JCommander.newBuilder().programName("beechseam").addObject(main);
@@ -65,8 +76,11 @@
                 parser.usage();
                 return main.help ? 0 : 2;
             }
-            command.run();
-            return 0;
+            if (command.helpWanted()) {
+                parser.getCommands().get(parser.getParsedCommand()).usage();
+                return 0;
+            }
+            return command.run();
         } catch (ParameterException e) {
             System.err.println("beechseam: " + e.getMessage() + " (see beechseam --help)");
             return 2;
--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import sun.misc.Signal;
@@ -26,15 +27,32 @@
     @Parameter(names = "--gearman", description = "An operator's file: serve Gearman's protocol by it")
     private String gearman;
 
+    @Parameter(names = "--log-format", description = "text or json, on standard error")
+    private Logging.Format logFormat = Logging.Format.TEXT;
+
+    @Parameter(names = "--log-level", description = "trace, debug, info, warning, error or off")
+    private Logging.Threshold logLevel = Logging.Threshold.INFO;
+
+    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
+    private boolean help;
+
+    @Override
+    public boolean helpWanted() {
+        return help;
+    }
+
     @Override
-    public void run() throws IOException, ConfigException {
+    public int run() throws IOException, ConfigException {
+        Logging.set(logFormat, logLevel);
         Map<String, String> environment = new HashMap<>(System.getenv());
         if (config != null) {
             environment.put("PROXY_CONFIG", config);
         }
-        boolean platformWanted = gearman == null || environment.containsKey("PROXY_CONFIG");
+        boolean told = environment.keySet().stream().anyMatch(key -> key.startsWith("PROXY_"));
+        boolean platformWanted = gearman == null ? told : environment.containsKey("PROXY_CONFIG");
         NodeConfig node = platformWanted ? NodeConfig.of(environment) : null;
-        GearmanConfig second = gearman == null ? null : GearmanConfig.read(gearman);
+        GearmanConfig second = gearman != null ? GearmanConfig.read(gearman)
+            : platformWanted ? null : GearmanConfig.usual();
         EventLoop loop = new EventLoop();
         PlatformNode[] reloaded = {null};
         on("HUP", () -> loop.post(() -> reload(reloaded[0], environment)));
@@ -56,6 +74,12 @@
                 jobServer.stop(stopped);
             }
         };
+        if (jobServer != null) {
+            jobServer.onShutDown(stop);
+            if (gearman == null) {
+                greet(jobServer.address());
+            }
+        }
         on("TERM", () -> loop.post(stop));
         on("INT", () -> loop.post(stop));
         loop.run();
@@ -63,9 +87,22 @@
             System.out.println(platform.counters());
         }
         if (jobServer != null) {
-            System.out.println(jobServer.counters());
+            System.out.println(jobServer.figures());
         }
         System.out.flush();
+        return 0;
+    }
+
+    /** For who starts it for the first time. */
+    private static void greet(InetSocketAddress at) {
+        String host = at.getAddress().getHostAddress();
+        System.out.println("A Gearman job server listens on " + host + ":" + at.getPort()
+            + ". Any function, jobs in memory; Ctrl-C ends it.\n"
+            + "With the gearman command line tool, a worker and a first job:\n"
+            + "  gearman -h " + host + " -p " + at.getPort() + " -w -f shout -- tr a-z A-Z\n"
+            + "  echo hello | gearman -h " + host + " -p " + at.getPort() + " -f shout\n"
+            + "What it holds: printf 'status\\n' | nc -w 1 " + host + " " + at.getPort()
+            + "; for an operator's file see README.");
     }
 
     /**
--- a/src/main/java/beechseam/config/GearmanConfig.java
+++ b/src/main/java/beechseam/config/GearmanConfig.java
@@ -108,6 +108,18 @@
         }
     }
 
+    /** A file with one of each that it can have, read: what was asked of it is its schema. */
+    public static Tree sample() {
+        Tree sample = new Tree("", Map.of("functions", List.of(Map.of("name", "f")), "workers",
+            List.of(Map.of("client_id", "w"))));
+        try {
+            of(sample);
+        } catch (ConfigException e) {
+            throw new IllegalStateException(e);
+        }
+        return sample;
+    }
+
     /** Reads, checks, and complains of keys that nobody asked for. */
     public static GearmanConfig of(Tree c) throws ConfigException {
         String zone = c.text("zone", "-");
@@ -122,12 +134,13 @@
             c.whole("retry_after_ms", 0, MAX_MS, 2000) * MS, true, true, false, c.flag("copies", false), 0);
         int packet = (int) c.whole("max_packet_kb", 1, 1024 * 1024, 16 * 1024) * 1024;
         int jobs = (int) c.whole("max_jobs", 1, 100_000_000, 1_000_000);
-        long memory = c.whole("max_memory_mb", 1, 1 << 20,
-            Math.max(1, Runtime.getRuntime().maxMemory() / 2 / MB)) * MB;
+        long memory = c.whole("max_memory_mb", 0, 1 << 20, 0) * MB; // 0: half of the heap
+        memory = memory == 0 ? Runtime.getRuntime().maxMemory() / 2 : memory;
+        int perClient = (int) c.whole("max_jobs_per_client", 0, 100_000_000, 0); // 0: as many as there may be
         Bounds bounds = new Bounds(packet, memory, (int) c.whole("max_unread_kb", 64, 1024 * 1024,
             16 * 1024) * 1024,
             (int) c.whole("max_connections", 1, 1_000_000, 4096), jobs,
-            (int) c.whole("max_jobs_per_client", 1, 100_000_000, jobs),
+            perClient == 0 ? jobs : perClient,
             (int) c.whole("max_functions", 1, 1_000_000, 1000), (int) c.whole("worker_slots", 1, 10_000, 16),
             (int) c.whole("max_targets", 1, 10_000, 48));
         Turns turns = new Turns(c.whole("grab_timeout_ms", 1, MAX_MS, 1000) * MS,
@@ -166,7 +179,8 @@
         long deadline = f.whole("deadline_ms", 10, MAX_MS, 60_000) * MS;
         long background = f.whole("background_deadline_ms", 10, MAX_MS, 3_600_000) * MS;
         // The module takes a run to last the aim until it knows better, so the aim leaves room for a wait.
-        long aim = f.whole("aim_ms", 1, MAX_MS, Math.max(1, deadline / MS / 4)) * MS;
+        long aim = f.whole("aim_ms", 0, MAX_MS, 0) * MS; // 0: a quarter of the deadline
+        aim = aim == 0 ? Math.max(MS, deadline / 4) : aim;
         double stretch = f.number("stretch", 0, 1000, 1);
         double worth = f.number("worth", 0.001, 1e9, 1);
         // Worth a lot after its aim: a Gearman job waits for a worker until its client gives up.
--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -150,10 +150,13 @@
         }
         job.background |= mode.background;
         connection.write(Packet.JOB_CREATED.response(job.handle()));
-        if (!mode.background && job.join(connection)) {
+        // That write may have found the client gone, and all that it waited for has been given up by then.
+        if (!mode.background && !connection.closed() && job.join(connection)) {
             waitsFor.add(job);
         }
-        if (fresh && at > server.loop.now()) {
+        if (fresh && !job.background && job.clientCount() == 0) {
+            server.finished(job, Jobs.End.LEFT);
+        } else if (fresh && at > server.loop.now()) {
             f.later(job, at);
         } else if (fresh) {
             f.enter(job);
--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -198,7 +198,7 @@
             case ECHO_REQ -> {
                 ByteBuffer echo = args.kept(0);
                 if (echo.remaining() > IN_PLACE) {
-                    write(Packet.ECHO_RES.responseBefore(echo.remaining()).limit(Packet.HEADER), echo);
+                    write(Packet.ECHO_RES.responseBefore(echo.remaining()), echo);
                 } else {
                     write(Packet.ECHO_RES.response(args.bytes(0)));
                 }
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -44,6 +44,13 @@
     private static final int TICKS_PER_AIM = 8;
     private static final int TICKS_AHEAD = 2;
 
+    /**
+     * Between two reports of a cohort's load. To date a report the module goes through all that it sent the
+     * cohort in the last seconds: with one at each end, a worker of 5,000 jobs a second cost 800 µs of CPU a
+     * job.
+     */
+    private static final long REPORT_GAP_NS = 250_000_000L;
+
     final GearmanServer server;
     final String name;
     final JobLines<GearmanJob> lines;
@@ -482,9 +489,16 @@
 
     /** A hop at this worker has ended. */
     void ended(Hop hop, Outcome outcome, byte[] result, Member<WorkerSession> m) {
-        engine.ended(hop, outcome, result, m == null || outcome != Outcome.SERVED
-            && outcome != Outcome.ERROR ? null
-            : load(m.cohort()));
+        Load load = null;
+        if (m != null && (outcome == Outcome.SERVED || outcome == Outcome.ERROR)) {
+            long now = server.loop.now();
+            Cohort<WorkerSession> c = m.cohort();
+            if (now - c.reportedAt > REPORT_GAP_NS) {
+                c.reportedAt = now;
+                load = load(c);
+            }
+        }
+        engine.ended(hop, outcome, result, load);
     }
 
     /** The worker has run a job well, badly, or not at all: it may belong elsewhere. */
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -465,7 +465,7 @@
                 dropped.merge(job.function.name, 1, Integer::sum);
                 abandon(job, Jobs.End.LOST);
             } else if (job.stage == GearmanJob.Stage.MODULE && job.placed) {
-                job.fail(Jobs.End.FAILED); // it may have run
+                job.failed(job.request, "the server is stopping"); // it may have run
                 job.function.engine().left(job.request);
             } else {
                 boolean queued = job.stage != GearmanJob.Stage.MODULE;
--- a/src/main/java/beechseam/gearman/protocol/Packet.java
+++ b/src/main/java/beechseam/gearman/protocol/Packet.java
@@ -78,7 +78,7 @@
 
     private ByteBuffer frame(int magic, int last, Object... args) {
         byte[][] parts = new byte[args.length][];
-        int size = last == 0 ? Math.max(0, args.length - 1) : args.length;
+        int size = last == 0 ? Math.max(0, args.length - 1) : args.length; // a NUL before what follows
         for (int i = 0; i < args.length; i++) {
             parts[i] = args[i] instanceof byte[] bytes ? bytes
                 : args[i].toString().getBytes(StandardCharsets.UTF_8);
@@ -92,7 +92,7 @@
             }
             out.put(parts[i]);
         }
-        if (last > 0) {
+        if (last > 0 && args.length > 0) {
             out.put((byte) 0);
         }
         return out.flip();
--- a/src/main/java/beechseam/gearman/queue/Cohorts.java
+++ b/src/main/java/beechseam/gearman/queue/Cohorts.java
@@ -46,6 +46,8 @@
         /** What the module was last told. */
         public boolean shownReady;
         public boolean shown;
+        /** When the module last had a report of its load, by the host's clock. */
+        public long reportedAt;
 
         Cohort(long id, Place place, boolean doubted) {
             this.id = id;
--- a/src/main/java/beechseam/gearman/queue/FairLine.java
+++ b/src/main/java/beechseam/gearman/queue/FairLine.java
@@ -74,6 +74,15 @@
         return null;
     }
 
+    /** Jobs held in memory, those that have left included. */
+    int held() {
+        int held = 0;
+        for (Lane<J> lane : turns) {
+            held += lane.jobs.size();
+        }
+        return Math.max(held, byAge.size());
+    }
+
     /** The one that has waited longest, or null; it stays in line. */
     public J oldest() {
         while (!byAge.isEmpty() && !byAge.peekFirst().waiting()) {
--- /dev/null
+++ b/src/main/java/beechseam/load/ServerProcess.java
@@ -0,0 +1,123 @@
+package beechseam.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The server under load: this program in a process of its own, on a free port, by a file made for it. */
+final class ServerProcess implements AutoCloseable {
+    private static final long UP_NS = 20_000_000_000L;
+    final InetSocketAddress address;
+    private final Process process;
+    private final Path file;
+
+    /** @param jvm options of the runtime, such as a heap's size */
+    ServerProcess(List<String> jvm, String functions) throws IOException, InterruptedException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        address = new InetSocketAddress("127.0.0.1", port);
+        file = Files.createTempFile("beechseam-load", ".json");
+        Files.writeString(file, "{\"listen\":\"127.0.0.1:" + port + "\",\"max_jobs\":3000000,\"functions\":"
+            + functions + "}");
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(jvm);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "beechseam.cli.Main", "serve",
+            "--gearman", file.toString(), "--log-level", "warning"));
+        process = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        for (long end = System.nanoTime() + UP_NS; !up();) {
+            if (System.nanoTime() > end || !process.isAlive()) {
+                throw new IOException("the server under load did not come up");
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private boolean up() {
+        try (Socket probe = new Socket()) {
+            probe.connect(address, 200);
+            return true;
+        } catch (IOException e) {
+            return false; // not yet
+        }
+    }
+
+    /** Processor time that it has used, in nanoseconds. */
+    long cpuNs() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
+    }
+
+    /** What it says to an admin line, up to its end. */
+    String ask(String line) {
+        try (Socket s = new Socket()) {
+            s.connect(address, 5000);
+            s.setSoTimeout(60_000);
+            s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            StringBuilder answer = new StringBuilder();
+            for (int c = s.getInputStream().read(); c >= 0 && c != '\n'; c = s.getInputStream().read()) {
+                answer.append((char) c);
+            }
+            return answer.toString();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** A figure of the counters line. */
+    long figure(String name) {
+        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(ask("counters"));
+        return m.find() ? Long.parseLong(m.group(1)) : -1;
+    }
+
+    /**
+     * Bytes of the heap in use after a full collection, by the runtime's own tool; -1 where there is none.
+     */
+    long heap() throws IOException, InterruptedException {
+        String tool = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+        String pid = Long.toString(process.pid());
+        new ProcessBuilder(tool, pid,
+            "GC.run").redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+        Process p = new ProcessBuilder(tool, pid, "GC.heap_info").start();
+        String text = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        p.waitFor();
+        long sum = 0;
+        Matcher m = Pattern.compile("(?:garbage-first heap|generation|PSYoungGen|ParOldGen).*?used (\\d+)K")
+            .matcher(text);
+        while (m.find()) {
+            sum += Long.parseLong(m.group(1)) * 1024;
+        }
+        return sum == 0 ? -1 : sum;
+    }
+
+    /** Asks it to end and gives how long that took, in nanoseconds. */
+    long stop() throws InterruptedException {
+        long start = System.nanoTime();
+        process.destroy();
+        if (!process.waitFor(120, TimeUnit.SECONDS)) {
+            process.destroyForcibly().waitFor();
+        }
+        return System.nanoTime() - start;
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        if (process.isAlive()) {
+            stop();
+        }
+        Files.deleteIfExists(file);
+    }
+}
--- a/src/test/java/beechseam/Loopback.java
+++ b/src/test/java/beechseam/Loopback.java
@@ -110,6 +110,11 @@
             super(loop, channel, 1 << 20);
         }
 
+        @Override
+        protected long mostWaiting() {
+            return 1L << 30; // a stand-in may have much to say
+        }
+
         void open(InetSocketAddress to) {
             connect(to);
         }
--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -95,7 +95,7 @@
             String out = new String(serving.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(serving.waitFor(60, TimeUnit.SECONDS));
             assertEquals(0, serving.exitValue(), "an end that was asked for is no fault");
-            assertTrue(out.startsWith("{\"taken\":0,"), out);
+            assertTrue(out.startsWith("{\"accepted\":0,\"alive\":0,"), out);
         } finally {
             serving.destroyForcibly();
         }
--- a/src/test/java/beechseam/gearman/GearmanRig.java
+++ b/src/test/java/beechseam/gearman/GearmanRig.java
@@ -132,7 +132,8 @@
                 return !heard.isEmpty();
             });
             String first = heard.poll();
-            assertTrue(first.startsWith(start), first + " in place of " + start);
+            assertTrue(first.startsWith(start), () -> first.substring(0, Math.min(200, first.length()))
+                + " in place of " + start);
             return first.substring(start.length()).trim();
         }
 
