A fault run of the Gearman front with accounts, and the load tool's own tests

Need: proof that all hard cases together leave no job owed. Change: beechseam load-gearman faults plays clients and workers that leave, drop, fail, throw, time out and answer late, by a seed, then stops the server with jobs in flight.

--- a/src/main/java/beechseam/cli/LoadGearman.java
+++ b/src/main/java/beechseam/cli/LoadGearman.java
@@ -20,7 +20,7 @@
  */
 @Parameters(commandDescription = "Measure the Gearman front under load on this machine")
 final class LoadGearman implements Main.Command {
-    @Parameter(description = "workers, fair, queued, memory, stop; all of them if none is named")
+    @Parameter(description = "workers, fair, queued, memory, stop, faults; all of them if none is named")
     private List<Scenario> scenarios = new ArrayList<>();
 
     @Parameter(names = "--seconds", description = "How long each measurement lasts")
@@ -68,7 +68,11 @@
                     g.writeStartObject();
                     g.writeStringField("scenario", row.scenario());
                     for (Map.Entry<String, Object> f : row.figures().entrySet()) {
-                        g.writeNumberField(f.getKey(), ((Number) f.getValue()).doubleValue());
+                        if (f.getValue() instanceof Number n) {
+                            g.writeNumberField(f.getKey(), n.doubleValue());
+                        } else {
+                            g.writeStringField(f.getKey(), f.getValue().toString());
+                        }
                     }
                     g.writeEndObject();
                 }
@@ -85,6 +89,7 @@
             case MEMORY -> List.of(100_000, 1_000_000);
             case STOP -> List.of(90_000);
             case FAIR -> List.of();
+            case FAULTS -> List.of(20_000);
         };
     }
 }
--- a/src/main/java/beechseam/load/GearmanLoad.java
+++ b/src/main/java/beechseam/load/GearmanLoad.java
@@ -21,12 +21,13 @@
     }
 
     /** What can be played. */
-    public enum Scenario { WORKERS, FAIR, QUEUED, MEMORY, STOP }
+    public enum Scenario { WORKERS, FAIR, QUEUED, MEMORY, STOP, FAULTS }
 
     private static final long LONGEST_NS = 120_000_000_000L;
     private static final String ANY =
         "[{\"name\":\"*\",\"effect\":\"safe\",\"deadline_ms\":3600000,\"aim_ms\":1000}]";
     private static final int LOOPS = 3;
+    private static final long SEED = 4730;
     private static final long WARM_MS = 4000;
     /** Queues up to this are empty within a fraction of a second. */
     private static final int SOON_EMPTY = 10_000;
@@ -205,6 +206,7 @@
             case QUEUED -> queued(sizes);
             case MEMORY -> memory(sizes);
             case STOP -> stop(sizes);
+            case FAULTS -> faults(sizes);
             default -> throw new IllegalArgumentException(scenario.name());
         }
         return List.copyOf(rows);
@@ -342,6 +344,15 @@
         }
     }
 
+    private void faults(List<Integer> sizes) throws IOException, InterruptedException {
+        for (int steps : sizes) {
+            try (ServerProcess server = new ServerProcess(jvm, FaultRun.FUNCTIONS);
+                 FaultRun run = new FaultRun(server, SEED)) {
+                add(steps + " steps of faults, seed " + SEED, run.play(steps));
+            }
+        }
+    }
+
     private void stop(List<Integer> sizes) throws IOException, InterruptedException {
         for (int queued : sizes) {
             try (ServerProcess server = new ServerProcess(jvm, ANY); Crowd crowd = new Crowd(server)) {
--- a/src/main/java/beechseam/load/ServerProcess.java
+++ b/src/main/java/beechseam/load/ServerProcess.java
@@ -21,6 +21,7 @@
     final InetSocketAddress address;
     private final Process process;
     private final Path file;
+    private final Path said;
 
     /** @param jvm options of the runtime, such as a heap's size */
     ServerProcess(List<String> jvm, String functions) throws IOException, InterruptedException {
@@ -37,8 +38,8 @@
         command.addAll(jvm);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "beechseam.cli.Main", "serve",
             "--gearman", file.toString(), "--log-level", "warning"));
-        process = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        said = Files.createTempFile("beechseam-load", ".log");
+        process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(said.toFile()).start();
         for (long end = System.nanoTime() + UP_NS; !up();) {
             if (System.nanoTime() > end || !process.isAlive()) {
                 throw new IOException("the server under load did not come up");
@@ -113,11 +114,18 @@
         return System.nanoTime() - start;
     }
 
+    /** The last line that it wrote; empty for none. */
+    String lastLine() throws IOException {
+        List<String> lines = Files.readAllLines(said);
+        return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+    }
+
     @Override
     public void close() throws IOException, InterruptedException {
         if (process.isAlive()) {
             stop();
         }
         Files.deleteIfExists(file);
+        Files.deleteIfExists(said);
     }
 }
--- /dev/null
+++ b/src/test/java/beechseam/load/GearmanLoadTest.java
@@ -0,0 +1,32 @@
+package beechseam.load;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.load.GearmanLoad.Row;
+import beechseam.load.GearmanLoad.Scenario;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The tool itself, for a moment each: what it measures is not judged here, what it counts is. */
+class GearmanLoadTest {
+    private final GearmanLoad load = new GearmanLoad(0.1, List.of("-Xmx512m"), text -> { });
+
+    /** Clients and workers that do everything wrong, by a seed: the accounts must come out. */
+    @Test
+    void faultsLeaveNothingOwed() throws Exception {
+        Row row = load.play(Scenario.FAULTS, List.of(400)).get(0);
+        assertEquals(0, row.figures().get("wrong"), () -> "" + row.figures());
+        assertEquals(row.figures().get("accepted"), row.figures().get("ended"));
+        assertTrue((Integer) row.figures().get("workers_lost") > 0);
+        assertTrue((Long) row.figures().get("served") > 0);
+    }
+
+    @Test
+    void whatIsQueuedIsCountedAndTheServerEnds() throws Exception {
+        Row memory = load.play(Scenario.MEMORY, List.of(20_000)).get(0);
+        long bytes = ((Number) memory.figures().get("bytes_per_job")).longValue();
+        assertTrue(bytes > 100 && bytes < 1200, "bytes a job: " + bytes);
+        Row stop = load.play(Scenario.STOP, List.of(5_000)).get(0);
+        assertTrue(((Number) stop.figures().get("ms_to_end")).longValue() < 20_000);
+    }
+}
