--- a/src/main/java/beechseam/cli/LoadGearman.java
+++ b/src/main/java/beechseam/cli/LoadGearman.java
@@ -20,7 +20,7 @@
  */
 @Parameters(commandDescription = "Measure the Gearman front under load on this machine")
 final class LoadGearman implements Main.Command {
-    @Parameter(description = "workers, fair, queued, memory, stop, faults; all of them if none is named")
+    @Parameter(description = "SCENARIO: workers, fair, queued, memory, stop, idle, faults; or all")
     private List<Scenario> scenarios = new ArrayList<>();
 
     @Parameter(names = "--seconds", description = "How long each measurement lasts")
@@ -89,6 +89,7 @@
             case MEMORY -> List.of(100_000, 1_000_000);
             case STOP -> List.of(90_000);
             case FAIR -> List.of();
+            case IDLE -> List.of(0, 800);
             case FAULTS -> List.of(20_000);
         };
     }
--- a/src/main/java/beechseam/gearman/Admin.java
+++ b/src/main/java/beechseam/gearman/Admin.java
@@ -1,7 +1,5 @@
 package beechseam.gearman;
 
-import beechseam.config.GearmanConfig.Mode;
-import beechseam.gearman.queue.JobLines;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -76,13 +74,11 @@
     private String priorityStatus() {
         StringBuilder s = new StringBuilder();
         for (GearmanFunction f : sorted()) {
-            int[] waiting = new int[3];
-            for (Mode mode : Mode.values()) {
-                waiting[mode.priority()] += f.lines.size(mode.ordinal());
-            }
             s.append(f.name);
-            for (int each : waiting) {
-                s.append('\t').append(each);
+            for (int priority = 0; priority < GearmanFunction.PRIORITIES; priority++) {
+                int later = priority == 1 ? f.clock.size()
+                    : 0; // those that wait for the clock are normal ones
+                s.append('\t').append(f.lines.waiting(priority) + later);
             }
             s.append('\t').append(f.cohorts.members()).append('\n');
         }
@@ -109,8 +105,8 @@
         if (words.length < 2) {
             return incomplete();
         }
-        int[] most = new int[3];
-        for (int i = 0; i < 3; i++) {
+        int[] most = new int[GearmanFunction.PRIORITIES];
+        for (int i = 0; i < most.length; i++) {
             String word = words.length == 2 ? "0" : words.length < 5 ? words[2] : words[2 + i];
             try {
                 int bound = Integer.parseInt(word);
@@ -123,9 +119,8 @@
         if (f == null) {
             return OK; // as published: a function that is not there has no queue to bound
         }
-        JobLines<GearmanJob> lines = f.lines;
-        for (Mode mode : Mode.values()) {
-            lines.limit(mode.ordinal(), most[mode.priority()]);
+        for (int priority = 0; priority < most.length; priority++) {
+            f.lines.limit(priority, most[priority]);
         }
         return OK;
     }
--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -92,25 +92,13 @@
     @Override
     protected void received(ByteBuffer in) {
         spoken = true;
-        while (in.hasRemaining() && !closed() && !ending() && !paused()) {
-            int before = in.position();
-            boolean packet = decoder.within() || in.get(before) == 0;
-            if (packet) {
-                decodeOne(in);
-            } else if (!line(in)) {
-                return;
-            }
-            if (in.position() == before) {
-                return;
-            }
+        boolean more = true;
+        while (more && in.hasRemaining()
+            && !paused()) { // packets and lines may follow each other in any order
+            more = decoder.within() || in.get(in.position()) == 0 ? decoder.next(in) : line(in);
         }
     }
 
-    /** Packets up to the first byte that begins none: admin lines may stand between packets. */
-    private void decodeOne(ByteBuffer in) {
-        decoder.decode(in);
-    }
-
     private boolean line(ByteBuffer in) {
         for (int i = in.position(); i < in.limit(); i++) {
             byte c = in.get(i);
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -42,6 +42,8 @@
      */
     private static final long MIN_TICK_NS = 20_000_000L;
     private static final int TICKS_PER_AIM = 8;
+    /** High, normal, low. */
+    static final int PRIORITIES = 3;
     private static final int TICKS_AHEAD = 2;
 
     /**
@@ -89,10 +91,10 @@
         this.name = name;
         this.known = known;
         GearmanConfig.Turns turns = server.config.turns();
-        lines = new JobLines<>(Mode.values().length, turns.ageingTurn(), turns.ageingNs());
+        lines = new JobLines<>(Mode.values().length, PRIORITIES, turns.ageingTurn(), turns.ageingNs());
         long aim = Long.MAX_VALUE;
         for (Mode mode : Mode.values()) {
-            lines.limit(mode.ordinal(), known.maxQueue().of(mode));
+            lines.limit(mode.priority(), known.maxQueue().of(mode));
             aim = Math.min(aim, Math.max(known.of(mode).aimNs(), MIN_TICK_NS));
         }
         leadNs = TICKS_AHEAD * Math.max(MIN_TICK_NS, aim / TICKS_PER_AIM);
--- a/src/main/java/beechseam/gearman/protocol/PacketDecoder.java
+++ b/src/main/java/beechseam/gearman/protocol/PacketDecoder.java
@@ -79,13 +79,16 @@
 
     /** Uses up what it can of a buffer with an array, as those of the read buffers are. */
     public void decode(ByteBuffer in) {
-        while (in.hasRemaining() && state != State.BROKEN && !owner.paused() && step(in)) {
+        while (next(in)) {
             continue;
         }
     }
 
-    /** One step; false when more bytes are needed, or the owner wants to wait. */
-    private boolean step(ByteBuffer in) {
+    /** A part of a packet, or one; false when more bytes are needed, or the owner wants to wait. */
+    public boolean next(ByteBuffer in) {
+        if (!in.hasRemaining() || owner.paused()) {
+            return false;
+        }
         return switch (state) {
             case HEADER, BODY -> header(in);
             case LONG_BODY -> longBody(in);
--- a/src/main/java/beechseam/gearman/queue/Admission.java
+++ b/src/main/java/beechseam/gearman/queue/Admission.java
@@ -39,7 +39,7 @@
                 + " jobs open, the most it may");
         }
         if (line.full(level)) {
-            return new Refusal("QUEUE_FULL", "maxqueue: " + line.size(level)
+            return new Refusal("QUEUE_FULL", "maxqueue: " + line.waitingWith(level)
                 + " jobs of this function and priority wait, the most that may");
         }
         if (!budget.takeJob(bytes)) {
--- a/src/main/java/beechseam/gearman/queue/JobLines.java
+++ b/src/main/java/beechseam/gearman/queue/JobLines.java
@@ -19,14 +19,15 @@
 
     /**
      * @param levelCount how many levels
+     * @param priorities how many bounds there are; levels that leave the same rest by it share one
      * @param ageingTurn every how many turns age decides; 0: never
      * @param ageingNs   age below which a head has no claim, in nanoseconds
      */
-    public JobLines(int levelCount, int ageingTurn, long ageingNs) {
+    public JobLines(int levelCount, int priorities, int ageingTurn, long ageingNs) {
         for (int i = 0; i < levelCount; i++) {
             levels.add(new FairLine<>());
         }
-        most = new int[levelCount];
+        most = new int[priorities];
         java.util.Arrays.fill(most, Integer.MAX_VALUE);
         this.ageingTurn = ageingTurn;
         this.ageingNs = ageingNs;
@@ -40,17 +41,29 @@
         return levels.get(level).size();
     }
 
-    /** The most that may wait at a level; what waits already stays. */
-    public void limit(int level, int jobs) {
-        most[level] = jobs;
+    /** The most that may wait at the levels of a priority together; what waits already stays. */
+    public void limit(int priority, int jobs) {
+        most[priority] = jobs;
     }
 
-    public int limit(int level) {
-        return most[level];
+    /** Whether the priority of a level is at its bound. */
+    public boolean full(int level) {
+        int priority = level % most.length;
+        return most[priority] != Integer.MAX_VALUE && waiting(priority) >= most[priority];
     }
 
-    public boolean full(int level) {
-        return levels.get(level).size() >= most[level];
+    /** Jobs that wait at a level and those that share its bound. */
+    public int waitingWith(int level) {
+        return waiting(level % most.length);
+    }
+
+    /** Jobs that wait at the levels of a priority. */
+    public int waiting(int priority) {
+        int sum = 0;
+        for (int i = priority; i < levels.size(); i += most.length) {
+            sum += levels.get(i).size();
+        }
+        return sum;
     }
 
     public void add(int level, Object client, J job) {
--- a/src/main/java/beechseam/load/GearmanLoad.java
+++ b/src/main/java/beechseam/load/GearmanLoad.java
@@ -21,7 +21,7 @@
     }
 
     /** What can be played. */
-    public enum Scenario { WORKERS, FAIR, QUEUED, MEMORY, STOP, FAULTS }
+    public enum Scenario { WORKERS, FAIR, QUEUED, MEMORY, STOP, IDLE, FAULTS }
 
     private static final long LONGEST_NS = 120_000_000_000L;
     private static final String ANY =
@@ -206,6 +206,7 @@
             case QUEUED -> queued(sizes);
             case MEMORY -> memory(sizes);
             case STOP -> stop(sizes);
+            case IDLE -> idle(sizes);
             case FAULTS -> faults(sizes);
             default -> throw new IllegalArgumentException(scenario.name());
         }
@@ -261,6 +262,24 @@
         }
     }
 
+    /** Workers of a function that nobody asks for beside 64 that work. */
+    private void idle(List<Integer> sizes) throws IOException, InterruptedException {
+        try (ServerProcess server = new ServerProcess(jvm, ANY)) {
+            warm(server);
+            for (int count : sizes) {
+                try (Crowd crowd = new Crowd(server)) {
+                    crowd.workers(count, 0, "nobody-asks");
+                    crowd.workers(64, 0, "f");
+                    crowd.clients(64, Packet.SUBMIT_JOB, "f", 32, Long.MAX_VALUE);
+                    crowd.submit(64);
+                    Map<String, Object> figures = crowd.measure();
+                    crowd.check();
+                    add("64 workers, " + count + " of another function", figures);
+                }
+            }
+        }
+    }
+
     /**
      * Fills the queue with background jobs that nobody can do yet, or that few workers do beside the rest.
      */
--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import beechseam.Loopback;
+import beechseam.config.Json;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -44,6 +47,65 @@
         assertTrue(said(2, "import", bad.toString()).contains("neither"));
     }
 
+    @Test
+    void theToolsSayWhatIsWrongAndWhatTheyTake(@TempDir Path dir) throws Exception {
+        for (String each : List.of("serve", "import", "check-config", "schema", "conformance",
+            "load-gearman")) {
+            assertTrue(said(0, each, "--help").contains("--help"), each);
+        }
+        assertTrue(said(2, "conformance", "192.0.2.1:4730").contains("no loopback address"));
+        assertTrue(said(2, "conformance", "127.0.0.1").contains("HOST:PORT: must be"));
+        assertTrue(said(2, "conformance", "127.0.0.1:1", "--only", "no such case").contains("no case has"));
+        assertTrue(said(0, "conformance", "x", "--list", "--only",
+            "^basics").contains("basics/an empty echo"));
+        Path odd = Files.writeString(dir.resolve("odd.txt"), "case \"a\" {\n a: sing }");
+        assertTrue(said(2, "conformance", "127.0.0.1:1", "--script",
+            odd.toString()).contains("odd.txt:2:5: "));
+        assertTrue(said(2, "load-gearman", "fair", "--seconds", "0").contains("--seconds"));
+        Path stoer = Files.writeString(dir.resolve("s.json"), "{\"functions\":\"*\",\"max_job\":1}");
+        assertTrue(said(2, "check-config", "--gearman", stoer.toString())
+            .contains("s.json: max_job: is not known here; did you mean max_jobs?"));
+        assertTrue(said(0, "schema").contains("\"max_jobs\""));
+    }
+
+    /** Started by no file at all, with JSON for a log: each line of it is a record,
+        and it says how to go on. */
+    @Test
+    void serveNeedsNoFile(@TempDir Path dir) throws Exception {
+        Path log = dir.resolve("log");
+        Path out = dir.resolve("out");
+        ProcessBuilder builder = new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "beechseam.cli.Main", "serve", "--log-format", "json");
+        builder.environment().keySet().removeIf(key -> key.startsWith("PROXY_"));
+        Process serving = builder.redirectError(log.toFile()).redirectOutput(out.toFile()).start();
+        try {
+            for (int i = 0; i < 400 && serving.isAlive() && Files.size(out) == 0; i++) {
+                Thread.sleep(50);
+            }
+            String said = Files.readString(out);
+            if (serving.isAlive()) { // else somebody else has the well-known port, which it must say
+                assertTrue(said.startsWith("A Gearman job server listens on 127.0.0.1:4730"), said);
+                assertTrue(said.contains("gearman -h 127.0.0.1 -p 4730 -f shout"), said);
+                serving.toHandle().destroy();
+                assertTrue(serving.waitFor(60, TimeUnit.SECONDS));
+                List<String> records = Files.readAllLines(log);
+                assertFalse(records.isEmpty());
+                for (String each : records) {
+                    byte[] bytes = each.getBytes(StandardCharsets.UTF_8);
+                    Map<?, ?> record = (Map<?, ?>) Json.parse(bytes, 0, bytes.length);
+                    assertEquals("INFO", record.get("level"), each);
+                    assertTrue(record.get("loggerName").toString().startsWith("beechseam."), each);
+                }
+                assertTrue(records.get(0).contains("listens for Gearman on"), records.get(0));
+            } else {
+                assertTrue(Files.readString(log).contains("beechseam: "), Files.readString(log));
+            }
+        } finally {
+            serving.destroyForcibly();
+        }
+    }
+
     /** The build makes the archive of classes by this list; what it names in vain is loaded slowly again. */
     @Test
     void theListOfClassesToArchiveNamesOurClassesAsTheyAre() throws Exception {
--- a/src/test/java/beechseam/conformance/ConformanceTest.java
+++ b/src/test/java/beechseam/conformance/ConformanceTest.java
@@ -10,6 +10,8 @@
 import beechseam.gearman.protocol.Packet;
 import beechseam.net.EventLoop;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
@@ -55,6 +57,26 @@
         assertEquals(EnumSet.allOf(Packet.class), covered);
     }
 
+    /** The page names cases as proof: each must be there, and each packet on the page. */
+    @Test
+    void thePageOfTheProtocolNamesCasesThatAreThere() throws Exception {
+        Set<String> ids = new HashSet<>();
+        Script.suite().forEach(c -> ids.add(c.id().replaceAll(" \\([A-Z_]+\\)$", "")));
+        Set<String> packets = new HashSet<>();
+        for (String line : Files.readAllLines(Path.of("docs", "GEARMAN-PROTOCOL.md"))) {
+            String[] cells = line.split("\\|");
+            if (cells.length == 6 && cells[1].trim().matches("\\d+")) {
+                assertEquals(Packet.valueOf(cells[2].trim()).code, Integer.parseInt(cells[1].trim()), line);
+                packets.add(cells[2].trim());
+                String proof = cells[5].replaceAll("\\(\\d+\\) *$", "").trim();
+                for (String id : proof.split("; ")) {
+                    assertTrue(ids.contains(id), id);
+                }
+            }
+        }
+        assertEquals(Packet.values().length, packets.size());
+    }
+
     /** A suite that cannot fail shows nothing: servers that say nothing, too much, or the wrong thing. */
     @Test
     void wrongAnswersAreFound() throws Exception {
--- a/src/test/java/beechseam/gearman/GearmanFaultsTest.java
+++ b/src/test/java/beechseam/gearman/GearmanFaultsTest.java
@@ -494,6 +494,59 @@
         assertNull(rig.server.find("made"));
     }
 
+    /**
+     * Nobody asked for it for a while; its workers came, went and fell asleep without a word to the module.
+     */
+    @Test
+    void aFunctionThatRestedServesAgain() {
+        serve("");
+        StandIn first = rig.peer().can("f");
+        StandIn client = rig.peer().say(Packet.SUBMIT_JOB, "f", "", "x");
+        String handle = client.next("JOB_CREATED");
+        assertEquals(handle, first.grab());
+        first.say(Packet.WORK_COMPLETE, handle, "y");
+        client.expect("WORK_COMPLETE");
+        GearmanFunction f = rig.server.find("f");
+        f.rest(-1);
+        assertFalse(f.awake());
+        rig.drop(first);
+        StandIn second = rig.peer().can("f").sync();
+        StandIn third = rig.peer().can("f").sync();
+        assertEquals(0, f.cohorts.free(), "not kept while it rests");
+        for (StandIn w : List.of(second, third)) {
+            handle = client.say(Packet.SUBMIT_JOB, "f", "", "x").next("JOB_CREATED");
+            assertEquals(handle, w.grab());
+            w.say(Packet.WORK_COMPLETE, handle, "z");
+            client.expect("WORK_COMPLETE " + handle + " z");
+        }
+        rig.drop(second);
+        rig.drop(third);
+        rig.net.until("it to be known that they went", () -> f.cohorts.members() == 0);
+        assertTrue(f.cohorts.all().isEmpty());
+    }
+
+    /** Two functions and one worker: what both wait for goes by priority, and neither is starved. */
+    @Test
+    void functionsThatShareAWorkerTakeTurns() {
+        serve("");
+        StandIn client = rig.peer();
+        for (int i = 0; i < 6; i++) {
+            client.say(Packet.SUBMIT_JOB, i < 3 ? "f" : "g", "", "x").expect("JOB_CREATED");
+        }
+        String high = client.say(Packet.SUBMIT_JOB_HIGH, "g", "", "x").next("JOB_CREATED");
+        StandIn worker = rig.peer().say(Packet.CAN_DO, "f").say(Packet.CAN_DO, "g").say(Packet.CAN_DO,
+            "idle");
+        StringBuilder order = new StringBuilder();
+        for (int i = 0; i < 7; i++) {
+            String[] words = worker.say(Packet.GRAB_JOB).next("JOB_ASSIGN").split(" ");
+            order.append(words[1]);
+            assertEquals(i == 0, words[0].equals(high));
+            worker.say(Packet.WORK_COMPLETE, words[0], "");
+        }
+        assertEquals("gfgfgfg", order.toString());
+        assertFalse(rig.server.find("idle").awake(), "a function that nobody asks for costs nothing");
+    }
+
     @Test
     void adminShutdownAsksForTheEnd() {
         serve("\"admin_shutdown\":false,");
--- a/src/test/java/beechseam/gearman/queue/LinesTest.java
+++ b/src/test/java/beechseam/gearman/queue/LinesTest.java
@@ -105,7 +105,7 @@
 
     @Test
     void theUrgentGoFirstAndTheOldAreNotStarved() {
-        JobLines<Job> lines = new JobLines<>(3, 16, 1000);
+        JobLines<Job> lines = new JobLines<>(3, 3, 16, 1000);
         lines.add(2, "low", new Job(0, 2, 0));
         int turns = 0;
         Job got;
@@ -125,17 +125,19 @@
         }
     }
 
+    /** Foreground and background jobs of one priority share its bound. */
     @Test
-    void eachLevelHasItsBoundAndWhatWaitsStays() {
-        JobLines<Job> lines = new JobLines<>(2, 0, 0);
+    void eachPriorityHasItsBoundAndWhatWaitsStays() {
+        JobLines<Job> lines = new JobLines<>(4, 2, 0, 0);
         lines.limit(0, 2);
         lines.add(0, "c", new Job(0, 0, 0));
         assertFalse(lines.full(0));
-        lines.add(0, "c", new Job(0, 0, 0));
+        lines.add(2, "c", new Job(0, 2, 0));
         assertTrue(lines.full(0));
+        assertTrue(lines.full(2));
         assertFalse(lines.full(1));
         lines.limit(0, 1);
-        assertEquals(2, lines.size(0));
+        assertEquals(2, lines.waiting(0));
         assertEquals(0, lines.urgent());
     }
 
@@ -234,7 +236,7 @@
     void eachBoundNamesItself() {
         ByteBudget budget = new ByteBudget(4000);
         Admission admission = new Admission(new Admission.Limits(10, 5));
-        JobLines<Job> lines = new JobLines<>(1, 0, 0);
+        JobLines<Job> lines = new JobLines<>(1, 1, 0, 0);
         assertNull(admission.check(9, 4, lines, 0, 1000, budget));
         assertEquals(1000, budget.jobs());
         assertEquals("QUEUE_FULL", admission.check(10, 0, lines, 0, 1, budget).code());
