--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -518,7 +518,7 @@
         double doubt = doubt(m);
         double time = m.pi * m.slots * doubt / ramp(m, now);
         double left = h.latestStart - now;
-        if (left > (h.latestStart - h.takenAt) * (1.05 - 3 * crossing(h, m))) {
+        if (left > Math.max(0, h.latestStart - h.takenAt) * (1.05 - 3 * crossing(h, m))) {
             return false; // a slot may yet free nearer by: the dearer the crossing, the longer the wait
         }
         double slack = Math.max(left, h.of.aimNs() * 0.25) * QUEUE_SHARE * h.stats.patience();
--- a/src/main/java/beechseam/library/Balancer.java
+++ b/src/main/java/beechseam/library/Balancer.java
@@ -75,6 +75,7 @@
     private final EventLoop loop;
     private final Engine engine;
     private final Counters counters = new Counters();
+    private final long retryAfterNs;
     private final Thread thread;
     private final Map<String, Place> byId = new HashMap<>();
     private final Map<Long, Place> byNumber = new HashMap<>();
@@ -106,6 +107,7 @@
     private Balancer(Builder<Q, R> b) {
         sender = b.sender;
         executor = b.executor;
+        retryAfterNs = b.retryAfter.toNanos();
         jobTypes = List.copyOf(b.types.values());
         List<JobClass> classes = new ArrayList<>();
         for (JobType each : jobTypes) {
@@ -497,6 +499,10 @@
 
         @Override
         public void failed(Request r, String why) {
+            if (attempts == 0) { // its time ran out between two looks of the module, but it never ran
+                shed(r, retryAfterNs);
+                return;
+            }
             end(new Outcome.Failed<>(r.deadlineAt - Engine.ANSWER_MARGIN_NS <= engine.now(), why));
         }
     }
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -625,6 +625,14 @@
         assertEquals(0, plain.job(1), "what an earlier life has sent is not known");
     }
 
+    /** Its time is shorter than a usual run: waiting cannot help it, and a free worker may be fast enough. */
+    @Test
+    void aJobWithLessTimeThanAUsualRunIsPlacedAtOnce() {
+        JobClass lateToo = new JobClass("c", 400 * MS, 4 * S, 2, 1, 0.5, Effect.SAFE, Group.ALL, 0, null);
+        Rig rig = new Rig(Rig.settings(lateToo)).workers(2);
+        assertNotEquals(0, rig.job(1, 0, 1, 200 * MS));
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
