--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -67,6 +67,7 @@
         known.put("schema", Schema::new);
         known.put("conformance", Conformance::new);
         known.put("load-gearman", LoadGearman::new);
+        known.put("load-library", LoadLibrary::new);
         known.put("version", Version::new);
         Map<String, Command> commands = new LinkedHashMap<>();
         known.forEach((name, make) -> {
--- a/src/test/java/beechseam/load/GearmanLoadTest.java
+++ b/src/test/java/beechseam/load/GearmanLoadTest.java
@@ -21,6 +21,17 @@
         assertTrue((Long) row.figures().get("served") > 0);
     }
 
+    /** The library's accounts, by a seed: served, failed, full, slow and silent workers. */
+    @Test
+    void everyDispatchIsAccountedFor() throws Exception {
+        LibraryLoad library = new LibraryLoad(text -> { });
+        var accounts = library.accounts(20_000, 8, 32, 4730);
+        assertEquals(0L, ((Number) accounts.get("wrong")).longValue(), accounts::toString);
+        assertTrue((Long) accounts.get("served") > 19_000, accounts::toString);
+        assertTrue((Long) accounts.get("failed") > 0, accounts::toString);
+        assertTrue(((Number) library.overhead(200).get("median_us")).doubleValue() > 0);
+    }
+
     @Test
     void whatIsQueuedIsCountedAndTheServerEnds() throws Exception {
         Row memory = load.play(Scenario.MEMORY, List.of(20_000)).get(0);
