--- a/src/test/java/beechseam/load/GearmanLoadTest.java
+++ b/src/test/java/beechseam/load/GearmanLoadTest.java
@@ -6,6 +6,7 @@
 import beechseam.load.GearmanLoad.Scenario;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The tool itself, for a moment each: what it measures is not judged here, what it counts is. */
 class GearmanLoadTest {
@@ -23,6 +24,7 @@
 
     /** The library's accounts, by a seed: served, failed, full, slow and silent workers. */
     @Test
+    @Timeout(120)
     void everyDispatchIsAccountedFor() throws Exception {
         LibraryLoad library = new LibraryLoad(text -> { });
         var accounts = library.accounts(20_000, 8, 32, 4730);
