--- a/src/main/java/beechseam/cli/CheckConfig.java
+++ b/src/main/java/beechseam/cli/CheckConfig.java
@@ -10,23 +10,15 @@
 
 /** Reads a configuration as {@code serve} would and says what is wrong with it. */
 @Parameters(commandDescription = "Check a node's configuration without starting it")
-final class CheckConfig implements Main.Command {
+final class CheckConfig extends Main.Command {
     @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
     private String config;
 
     @Parameter(names = "--gearman", description = "An operator's file for Gearman's protocol")
     private String gearman;
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws ConfigException {
+    int run() throws ConfigException {
         Map<String, String> environment = new HashMap<>(System.getenv());
         if (config != null) {
             environment.put("PROXY_CONFIG", config);
--- a/src/main/java/beechseam/cli/Conformance.java
+++ b/src/main/java/beechseam/cli/Conformance.java
@@ -8,13 +8,13 @@
 import beechseam.gearman.protocol.Packet;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -24,7 +24,7 @@
  * Plays the conformance suite against a Gearman server on a loopback address. Exit status 1: a case failed.
  */
 @Parameters(commandDescription = "Play the Gearman conformance suite against a server on a loopback address")
-final class Conformance implements Main.Command {
+final class Conformance extends Main.Command {
     @Parameter(description = "HOST:PORT", required = true)
     private String server;
 
@@ -40,16 +40,8 @@
     @Parameter(names = "--script", description = "A transcript file to play in place of the suite")
     private List<String> scripts = new ArrayList<>();
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws IOException, ConfigException {
+    int run() throws IOException, ConfigException {
         List<Case> cases = cases();
         if (list) {
             cases.forEach(c -> System.out.println(c.id()));
@@ -74,7 +66,7 @@
             System.err.print("\r\u001b[K");
         }
         if (json != null) {
-            write(results);
+            Json.rows(Path.of(json), results.stream().map(Conformance::named).toList());
         }
         return report(results);
     }
@@ -126,22 +118,15 @@
         return passed == results.size() ? 0 : 1;
     }
 
-    private void write(List<Player.Result> results) throws IOException {
-        try (var out = Files.newOutputStream(Path.of(json));
-             JsonGenerator g = Json.FACTORY.createGenerator(out)) {
-            g.useDefaultPrettyPrinter().writeStartArray();
-            for (Player.Result r : results) {
-                g.writeStartObject();
-                g.writeStringField("file", r.of().file());
-                g.writeStringField("case", r.of().name());
-                g.writeBooleanField("passed", r.passed());
-                g.writeNumberField("ms", r.tookNs() / 1e6);
-                if (!r.passed()) {
-                    g.writeStringField("why", r.why());
-                }
-                g.writeEndObject();
-            }
-            g.writeEndArray();
+    private static Map<String, Object> named(Player.Result r) {
+        Map<String, Object> named = new LinkedHashMap<>();
+        named.put("file", r.of().file());
+        named.put("case", r.of().name());
+        named.put("passed", r.passed());
+        named.put("ms", r.tookNs() / 1e6);
+        if (!r.passed()) {
+            named.put("why", r.why());
         }
+        return named;
     }
 }
--- a/src/main/java/beechseam/cli/Import.java
+++ b/src/main/java/beechseam/cli/Import.java
@@ -13,7 +13,7 @@
 
 /** Takes over the workers of a foreign balancer's file. */
 @Parameters(commandDescription = "Print the workers of an Apache balancer or mod_jk file as a route table")
-final class Import implements Main.Command {
+final class Import extends Main.Command {
     @Parameter(description = "FILE", required = true)
     private String file;
 
@@ -23,16 +23,8 @@
     @Parameter(names = "--zone", description = "The zone of workers whose file names none")
     private String zone = "-";
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws IOException, ConfigException {
+    int run() throws IOException, ConfigException {
         Importer importer = new Importer();
         StringWriter list = new StringWriter();
         try {
--- a/src/main/java/beechseam/cli/LoadGearman.java
+++ b/src/main/java/beechseam/cli/LoadGearman.java
@@ -7,11 +7,10 @@
 import beechseam.load.GearmanLoad.Scenario;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -19,7 +18,7 @@
  * Measures the Gearman front with stand-in clients and workers on loopback; a server of its own for each run.
  */
 @Parameters(commandDescription = "Measure the Gearman front under load on this machine")
-final class LoadGearman implements Main.Command {
+final class LoadGearman extends Main.Command {
     @Parameter(description = "SCENARIO: workers, fair, queued, memory, stop, idle, faults; or all")
     private List<Scenario> scenarios = new ArrayList<>();
 
@@ -37,16 +36,8 @@
     @Parameter(names = "--json", description = "Write the results to this file as well")
     private String json;
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws IOException, ConfigException {
+    int run() throws IOException, ConfigException {
         if (!(seconds > 0 && seconds <= 600)) {
             throw new ConfigException("--seconds", "must be over 0 and at most 600, not " + seconds);
         }
@@ -61,27 +52,18 @@
             throw new IOException("interrupted");
         }
         if (json != null) {
-            try (var out = Files.newOutputStream(Path.of(json));
-                 JsonGenerator g = Json.FACTORY.createGenerator(out)) {
-                g.useDefaultPrettyPrinter().writeStartArray();
-                for (Row row : rows) {
-                    g.writeStartObject();
-                    g.writeStringField("scenario", row.scenario());
-                    for (Map.Entry<String, Object> f : row.figures().entrySet()) {
-                        if (f.getValue() instanceof Number n) {
-                            g.writeNumberField(f.getKey(), n.doubleValue());
-                        } else {
-                            g.writeStringField(f.getKey(), f.getValue().toString());
-                        }
-                    }
-                    g.writeEndObject();
-                }
-                g.writeEndArray();
-            }
+            Json.rows(Path.of(json), rows.stream().map(LoadGearman::named).toList());
         }
         return 0;
     }
 
+    private static Map<String, Object> named(Row row) {
+        Map<String, Object> named = new LinkedHashMap<>();
+        named.put("scenario", row.scenario());
+        named.putAll(row.figures());
+        return named;
+    }
+
     private static List<Integer> usual(Scenario scenario) {
         return switch (scenario) {
             case WORKERS -> List.of(1, 16, 64, 256, 800);
--- a/src/main/java/beechseam/cli/LoadLibrary.java
+++ b/src/main/java/beechseam/cli/LoadLibrary.java
@@ -9,7 +9,7 @@
 
 /** Measures the library with stand-in workers in this process. Exit status 1: its accounts do not add up. */
 @Parameters(commandDescription = "Dispatch through the library under load, and account for every outcome")
-final class LoadLibrary implements Main.Command {
+final class LoadLibrary extends Main.Command {
     @Parameter(names = "--dispatches", description = "How many")
     private int dispatches = 1_000_000;
 
@@ -22,16 +22,8 @@
     @Parameter(names = "--seed", description = "For what the workers do")
     private long seed = 4730;
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws IOException, ConfigException {
+    int run() throws IOException, ConfigException {
         most("--dispatches", dispatches, 100_000_000);
         most("--threads", threads, 256);
         most("--workers", workers, 10_000);
--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -13,29 +13,27 @@
 /** The command line. */
 public final class Main {
     /** A sub-command: done when it returns. */
-    interface Command {
-        /** Gives the process's exit status. */
-        int run() throws IOException, ConfigException;
+    abstract static class Command {
+        @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
+        private boolean help;
 
-        /** Whether its options are to be shown in place of running it. */
-        default boolean helpWanted() {
-            return false;
-        }
+        /** Gives the process's exit status. */
+        abstract int run() throws IOException, ConfigException;
     }
 
     @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
-    private static final class WireHost implements Command {
+    private static final class WireHost extends Command {
         @Override
-        public int run() {
+        int run() {
             beechseam.sim.Adapter.main(new String[0]);
             return 0;
         }
     }
 
     @Parameters(commandDescription = "Print the version")
-    private static final class Version implements Command {
+    private static final class Version extends Command {
         @Override
-        public int run() {
+        int run() {
             String version = Main.class.getPackage().getImplementationVersion();
             System.out.println("beechseam " + (version == null ? "(not packaged)" : version));
             return 0;
@@ -92,7 +90,7 @@
                 parser.usage();
                 return main.help ? 0 : 2;
             }
-            if (command.helpWanted()) {
+            if (command.help) {
                 parser.getCommands().get(parser.getParsedCommand()).usage();
                 return 0;
             }
--- a/src/main/java/beechseam/cli/Schema.java
+++ b/src/main/java/beechseam/cli/Schema.java
@@ -2,23 +2,14 @@
 
 import beechseam.config.GearmanConfig;
 import beechseam.config.JsonSchema;
-import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 
 /** Prints the JSON Schema of an operator's file, made of what the program asks of it. */
 @Parameters(commandDescription = "Print the JSON Schema of the operator's file for Gearman")
-final class Schema implements Main.Command {
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
+final class Schema extends Main.Command {
     @Override
-    public int run() throws IOException {
+    int run() throws IOException {
         System.out.print(JsonSchema.of(GearmanConfig.sample(), "beechseam: operator's file for Gearman"));
         return 0;
     }
--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -18,7 +18,7 @@
 
 /** Runs a node until SIGTERM. */
 @Parameters(commandDescription = "Run a node; the platform tells it how by PROXY_CONFIG and its companions")
-final class Serve implements Main.Command {
+final class Serve extends Main.Command {
     private static final Logger LOG = System.getLogger(Serve.class.getName());
 
     @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
@@ -33,16 +33,8 @@
     @Parameter(names = "--log-level", description = "trace, debug, info, warning, error or off")
     private Logging.Threshold logLevel = Logging.Threshold.INFO;
 
-    @Parameter(names = {"--help", "-h"}, help = true, description = "Show this command's options")
-    private boolean help;
-
-    @Override
-    public boolean helpWanted() {
-        return help;
-    }
-
     @Override
-    public int run() throws IOException, ConfigException {
+    int run() throws IOException, ConfigException {
         Logging.set(logFormat, logLevel);
         Map<String, String> environment = new HashMap<>(System.getenv());
         if (config != null) {
--- a/src/main/java/beechseam/config/Json.java
+++ b/src/main/java/beechseam/config/Json.java
@@ -5,6 +5,9 @@
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -41,6 +44,29 @@
         return out.toByteArray();
     }
 
+    /** Writes a file that holds a list of objects, each a row of figures and words by name. */
+    public static void rows(Path file, List<? extends Map<String, ?>> rows) throws IOException {
+        try (OutputStream out = Files.newOutputStream(file);
+             JsonGenerator json = FACTORY.createGenerator(out)) {
+            json.useDefaultPrettyPrinter().writeStartArray();
+            for (Map<String, ?> row : rows) {
+                json.writeStartObject();
+                for (Map.Entry<String, ?> each : row.entrySet()) {
+                    json.writeFieldName(each.getKey());
+                    if (each.getValue() instanceof Number n) {
+                        json.writeNumber(n.doubleValue());
+                    } else if (each.getValue() instanceof Boolean b) {
+                        json.writeBoolean(b);
+                    } else {
+                        json.writeString(each.getValue().toString());
+                    }
+                }
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        }
+    }
+
     /** The value at the parser. */
     public static Object tree(JsonParser in) throws IOException {
         switch (in.currentToken()) {
--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -40,10 +40,6 @@
         return exceptions;
     }
 
-    int waiting() {
-        return waitsFor.size();
-    }
-
     void submit(Packet kind, Arguments args) {
         switch (kind) {
             case SUBMIT_JOB -> submit(args, 2, Mode.NORMAL, null, 0);
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -382,10 +382,10 @@
                 server.loop::now,
                 server.loop.timers, this, counters);
         }
-        server.members(this).forEach((w, m) -> {
-            cohorts.load(m, w.held(), w.slots());
-            cohorts.free(m, w.free());
-        });
+        for (Member<WorkerSession> m : cohorts.everyone()) {
+            cohorts.load(m, m.worker.held(), m.worker.slots());
+            cohorts.free(m, m.worker.free());
+        }
         for (Cohort<WorkerSession> c : List.copyOf(cohorts.all())) {
             tell(c);
             show(c);
@@ -396,7 +396,7 @@
     void rest(long idleNs) {
         if (awake && alive == 0 && open() == 0 && server.loop.now() - awakeAt > idleNs) {
             awake = false;
-            server.members(this).forEach((w, m) -> cohorts.free(m, false));
+            cohorts.everyone().forEach(m -> cohorts.free(m, false));
             for (Cohort<WorkerSession> c : cohorts.all()) {
                 show(c);
             }
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -196,10 +196,6 @@
 
     @Override
     public void shed(Request r, long pauseNs) {
-        shed(pauseNs);
-    }
-
-    void shed(long pauseNs) {
         // WORK_FAIL has no room for it, so the advice goes ahead as an exception to those that asked.
         forward(Packet.WORK_EXCEPTION, ByteBuffer.wrap(String.format(Locale.ROOT, "busy: retry after %.3f s",
             pauseNs / 1e9).getBytes(java.nio.charset.StandardCharsets.UTF_8)), handle());
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -1,12 +1,10 @@
 package beechseam.gearman;
 
 import beechseam.config.GearmanConfig;
-import beechseam.config.GearmanConfig.Mode;
 import beechseam.core.Counters;
 import beechseam.core.Timer;
 import beechseam.gearman.queue.Admission;
 import beechseam.gearman.queue.ByteBudget;
-import beechseam.gearman.queue.Cohorts.Member;
 import beechseam.gearman.queue.Cohorts.Place;
 import beechseam.gearman.queue.FunctionTurns;
 import beechseam.net.EventLoop;
@@ -18,7 +16,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -39,8 +36,6 @@
      * forgotten.
      */
     private static final long IDLE_NS = 10_000_000_000L;
-    /** Connections looked at when one must make room, from the oldest on. */
-    private static final int SILENT_LOOK = 64;
 
     final EventLoop loop;
     final GearmanConfig config;
@@ -55,7 +50,6 @@
     private final Set<GearmanConnection> connections = new LinkedHashSet<>();
     private final Set<GearmanConnection> starved = new LinkedHashSet<>();
     private final Map<String, GearmanFunction> functions = new LinkedHashMap<>();
-    private final Map<GearmanFunction, Map<WorkerSession, Member<WorkerSession>>> members = new HashMap<>();
     /** Functions with waiting jobs. */
     private final Set<GearmanFunction> hot = new LinkedHashSet<>();
     private final FunctionTurns<GearmanFunction> turns;
@@ -143,21 +137,11 @@
      * The oldest that has never said a word makes room: a crowd that opens and says nothing keeps nobody out.
      */
     private boolean evictSilent() {
-        int looked = 0;
         for (GearmanConnection each : connections) {
             if (!each.spoken()) {
                 each.close();
                 return true;
             }
-            if (++looked >= SILENT_LOOK && connections.size() > 4 * SILENT_LOOK) {
-                break;
-            }
-        }
-        for (GearmanConnection each : connections) { // rare: the oldest have all spoken
-            if (!each.spoken()) {
-                each.close();
-                return true;
-            }
         }
         return false;
     }
@@ -262,7 +246,6 @@
     private GearmanFunction make(String name) {
         GearmanFunction f = new GearmanFunction(this, name, config.function(name));
         functions.put(name, f);
-        members.put(f, new LinkedHashMap<>());
         return f;
     }
 
@@ -270,7 +253,6 @@
     void forget(GearmanFunction f) {
         f.close();
         functions.remove(f.name);
-        members.remove(f);
         retired.add(f.counters());
     }
 
@@ -293,18 +275,6 @@
         return new Place(place.zone(), place.cell());
     }
 
-    void joined(GearmanFunction f, WorkerSession w, Member<WorkerSession> m) {
-        members.get(f).put(w, m);
-    }
-
-    void parted(GearmanFunction f, WorkerSession w) {
-        members.get(f).remove(w);
-    }
-
-    Map<WorkerSession, Member<WorkerSession>> members(GearmanFunction f) {
-        return members.get(f);
-    }
-
     boolean drained(String clientId) {
         return drained.contains(clientId);
     }
@@ -375,25 +345,24 @@
 
     /** Nobody needs it any more. */
     void abandon(GearmanJob job, Jobs.End how) {
-        boolean queued = job.stage != GearmanJob.Stage.MODULE;
-        if (queued) {
-            job.function.withdraw(job);
-        }
-        finished(job, how);
-        if (!queued && job.request != null) {
-            job.function.engine().left(job.request);
-        }
+        giveUp(job, () -> finished(job, how));
     }
 
     /** An operator gives it up before it has begun; its clients are told that it failed. */
     void cancel(GearmanJob job) {
-        boolean queued = job.stage != GearmanJob.Stage.MODULE;
-        if (queued) {
+        giveUp(job, () -> job.fail(Jobs.End.CANCELLED));
+    }
+
+    /** Takes it out of line, or from the module once its clients have been told. */
+    private static void giveUp(GearmanJob job, Runnable tell) {
+        if (job.stage == GearmanJob.Stage.MODULE) {
+            tell.run();
+            if (job.request != null) { // null while the module is just being told of it
+                job.function.engine().left(job.request);
+            }
+        } else {
             job.function.withdraw(job);
-        }
-        job.fail(Jobs.End.CANCELLED);
-        if (!queued) {
-            job.function.engine().left(job.request);
+            tell.run();
         }
     }
 
@@ -464,18 +433,10 @@
             if (!waited) {
                 dropped.merge(job.function.name, 1, Integer::sum);
                 abandon(job, Jobs.End.LOST);
-            } else if (job.stage == GearmanJob.Stage.MODULE && job.placed) {
-                job.failed(job.request, "the server is stopping"); // it may have run
-                job.function.engine().left(job.request);
+            } else if (job.placed) { // it may have run
+                giveUp(job, () -> job.failed(job.request, "the server is stopping"));
             } else {
-                boolean queued = job.stage != GearmanJob.Stage.MODULE;
-                if (queued) {
-                    job.function.withdraw(job);
-                }
-                job.shed(config.limits().maxRetryAfterNs());
-                if (!queued) {
-                    job.function.engine().left(job.request);
-                }
+                giveUp(job, () -> job.shed(job.request, config.limits().maxRetryAfterNs()));
             }
         }
         dropped.forEach((name, count) -> LOG.log(Level.WARNING, "stopping: " + count
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -85,14 +85,6 @@
         return slots;
     }
 
-    State state() {
-        return state;
-    }
-
-    boolean isDrained() {
-        return drained;
-    }
-
     Iterable<String> functions() {
         return abilities.keySet();
     }
@@ -130,7 +122,6 @@
         }
         Member<WorkerSession> m = f.cohorts.join(this, place);
         abilities.put(name, new Ability(f, m, seconds));
-        server.joined(f, this, m);
         f.joined(m, this);
     }
 
@@ -140,7 +131,6 @@
         if (a == null) {
             return;
         }
-        server.parted(a.function(), this);
         a.function().leave(a.member());
         if (parked != null && GearmanFunction.job(parked).function == a.function()) {
             giveBack(Outcome.NOT_SENT);
--- a/src/main/java/beechseam/gearman/queue/Cohorts.java
+++ b/src/main/java/beechseam/gearman/queue/Cohorts.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The workers of one function as a bounded number of egress targets. Workers that are alike (same place, same
@@ -108,7 +109,7 @@
     private final List<Cohort<W>> emptied = new ArrayList<>();
     private long lastId;
     private int free;
-    private int members;
+    private final Set<Member<W>> everyone = new LinkedHashSet<>();
     private double meanLog;
     private long runs;
 
@@ -124,7 +125,12 @@
 
     /** Workers, free or not. */
     public int members() {
-        return members;
+        return everyone.size();
+    }
+
+    /** All workers, in the order in which they joined. */
+    public Collection<Member<W>> everyone() {
+        return everyone;
     }
 
     public Collection<Cohort<W>> all() {
@@ -149,7 +155,7 @@
     /** A worker that can do the function from now on; it is not free yet. */
     public Member<W> join(W worker, Place place) {
         Member<W> m = new Member<>(worker);
-        members++;
+        everyone.add(m);
         enter(m, place);
         return m;
     }
@@ -157,7 +163,7 @@
     public void leave(Member<W> m) {
         free(m, false);
         exit(m);
-        members--;
+        everyone.remove(m);
     }
 
     /** It is elsewhere from now on. */
--- a/src/main/java/beechseam/gearman/queue/JobLines.java
+++ b/src/main/java/beechseam/gearman/queue/JobLines.java
@@ -37,10 +37,6 @@
         return size;
     }
 
-    public int size(int level) {
-        return levels.get(level).size();
-    }
-
     /** The most that may wait at the levels of a priority together; what waits already stays. */
     public void limit(int priority, int jobs) {
         most[priority] = jobs;
--- a/src/main/java/beechseam/gearman/queue/Schedule.java
+++ b/src/main/java/beechseam/gearman/queue/Schedule.java
@@ -1,6 +1,5 @@
 package beechseam.gearman.queue;
 
-import java.time.DateTimeException;
 import java.time.ZonedDateTime;
 import java.time.temporal.ChronoUnit;
 import java.util.Map;
@@ -97,7 +96,7 @@
             if (value >= least && value <= most) {
                 return value;
             }
-        } catch (NumberFormatException | DateTimeException e) {
+        } catch (NumberFormatException e) {
             // told below, with its bounds
         }
         throw new IllegalArgumentException(name + " must be from " + least + " to " + most + ", not '"
