Conformance: admin answers are read line by line, where five cases could not fail

Cause: workers, status and show jobs were matched by any first line, one case was named for what it did not do, and prioritystatus and show unique jobs had none.

--- a/src/main/antlr4/beechseam/conformance/Transcript.g4
+++ b/src/main/antlr4/beechseam/conformance/Transcript.g4
@@ -19,6 +19,7 @@
     | 'expect' WORD value* within?      # expect
     | 'line' value+                     # line
     | 'hears' value+ within?            # hears
+    | 'lists' value+ within?            # lists
     | 'quiet' TIME                      # quiet
     | 'close'                           # close
     | 'closed' within?                  # closed
--- a/src/main/java/beechseam/conformance/Player.java
+++ b/src/main/java/beechseam/conformance/Player.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 
 /** Plays cases against a server, one after the other, each with connections and names of its own. */
 public final class Player implements AutoCloseable {
@@ -135,6 +136,8 @@
             expect(s);
         } else if (step instanceof Step.Hears s) {
             hears(s);
+        } else if (step instanceof Step.Lists s) {
+            lists(s);
         } else if (step instanceof Step.Quiet s) {
             Peer p = peer(s.peer());
             if (until(s.ns(), () -> !p.heard.isEmpty() || p.gone)) {
@@ -207,6 +210,34 @@
         }
     }
 
+    /** All lines up to the dot are heard, so that what follows is not taken for this answer's. */
+    private void lists(Step.Lists s) throws IOException, Failed {
+        StringBuilder wanted = new StringBuilder();
+        for (Value v : s.values()) {
+            wanted.append(v instanceof Value.Matching m ? "(?:" + m.pattern() + ")"
+                : v instanceof Value.Any ? ".*" : Pattern.quote(new String(bytes(v),
+                    StandardCharsets.UTF_8)));
+        }
+        Pattern pattern = Pattern.compile(wanted.toString());
+        List<String> lines = new ArrayList<>();
+        boolean found = false;
+        while (true) {
+            Peer.Heard next = next(s.peer(), "a line, or the dot that ends the list", s.withinNs());
+            if (next.line() == null) {
+                throw new Failed(s.peer() + " heard " + shown(next) + " in place of a line");
+            }
+            if (next.line().equals(".")) {
+                break;
+            }
+            found |= pattern.matcher(next.line()).matches();
+            lines.add(next.line());
+        }
+        if (!found) {
+            throw new Failed("none of " + lines.size() + " lines is as wanted; the last is '"
+                + (lines.isEmpty() ? "" : lines.get(lines.size() - 1)) + "'");
+        }
+    }
+
     private Peer.Heard next(String name, String what, long withinNs) throws IOException, Failed {
         Peer p = peer(name);
         until(withinNs, () -> !p.heard.isEmpty() || p.gone || p.fault != null);
--- a/src/main/java/beechseam/conformance/Script.java
+++ b/src/main/java/beechseam/conformance/Script.java
@@ -80,6 +80,11 @@
         record Hears(int line, String peer, List<Value> values, long withinNs) implements Step {
         }
 
+        /** An admin answer of many lines up to its dot,
+            one of which is made of these values in their order. */
+        record Lists(int line, String peer, List<Value> values, long withinNs) implements Step {
+        }
+
         record Quiet(int line, String peer, long ns) implements Step {
         }
 
@@ -227,6 +232,8 @@
             return new Step.Line(line, peer, values(s.value()));
         } else if (a instanceof TranscriptParser.HearsContext s) {
             return new Step.Hears(line, peer, values(s.value()), within(s.within()));
+        } else if (a instanceof TranscriptParser.ListsContext s) {
+            return new Step.Lists(line, peer, values(s.value()), within(s.within()));
         } else if (a instanceof TranscriptParser.QuietContext s) {
             return new Step.Quiet(line, peer, time(s.TIME().getSymbol()));
         } else if (a instanceof TranscriptParser.ClosedContext s) {
--- a/src/test/java/beechseam/conformance/ConformanceTest.java
+++ b/src/test/java/beechseam/conformance/ConformanceTest.java
@@ -98,6 +98,12 @@
                 Packet.ECHO_RES.response("x").array()));
         assertEquals("line 1: the line is 'no' and does not match /OK.*/",
             against("case \"c\" { a: line \"version\"; hears /OK.*/ }", "no\n".getBytes()));
+        String list = "case \"c\" { a: line \"status\"; lists \"f\\t\" /[0-9]/ ? within 300ms }";
+        assertNull(against(list, "e\t1\t0\nf\t2\t0\n.\n".getBytes()));
+        assertEquals("line 1: none of 2 lines is as wanted; the last is 'f\t\t0'",
+            against(list, "e\t1\t0\nf\t\t0\n.\n".getBytes()));
+        assertEquals("line 1: a waited in vain for a line, or the dot that ends the list",
+            against(list, "f\t2\t0\n".getBytes()));
         assertEquals("line 1: a was not cut off in time",
             against("case \"c\" { a: raw \"x\"; closed within 50ms }", new byte[0]));
         assertEquals("line 1: nothing is known as h", against("case \"c\" { a: send WORK_FAIL h }",
--- a/src/test/java/beechseam/gearman/GearmanFaultsTest.java
+++ b/src/test/java/beechseam/gearman/GearmanFaultsTest.java
@@ -408,6 +408,9 @@
         String first = worker.say(Packet.GRAB_JOB).next("JOB_ASSIGN").split(" ")[0];
         worker.say(Packet.GRAB_JOB).expect("JOB_ASSIGN").say(Packet.GRAB_JOB).expect("JOB_ASSIGN");
         worker.say(Packet.GRAB_JOB).expect("NO_JOB").say(Packet.PRE_SLEEP).nothing();
+        var cohort = rig.server.find("f").cohorts.all().iterator().next();
+        assertEquals(3, cohort.slots(), "as the module is told");
+        assertEquals(3, cohort.busy());
         worker.say(Packet.WORK_COMPLETE, first, "").say(Packet.GRAB_JOB).expect("JOB_ASSIGN");
     }
 
