The module's scale of run times and indices holds: a skewed class drove it to overflow

Cause: a class's mean run and the workers' indices are learned from each other, the one clipped and the other not. With skewed run times they drift apart, half an e-fold in a hundred runs; indices of workers not used meanwhile stay behind, so all jobs go to one, and after 352,630 runs of a probe (one in ten a hundred times longer) the numbers overflow and no job is placed any more. Change: an index counts up to e^4; once a class has 5,000 runs its mean is clipped like the indices and takes off nine tenths of one.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -31,6 +31,7 @@
     private static final double PI_SHRINK = 4;
     /** A single run moves PI by no more than this (natural logarithm): a heavy tail is not a slow worker. */
     private static final double PI_CLIP = 1.5;
+    private static final int MANY = 5000; // runs of a class, after which the scale of runs and PIs is held
     /** Share of a job's slack that may pass waiting at a worker; of the slack of a class of more worth. */
     private static final double QUEUE_SHARE = 0.7;
     private static final double YIELD_SHARE = 0.5;
@@ -157,7 +158,8 @@
                 hintVariance += (off * (hint - logHint) - hintVariance) * hintGain;
                 hintCovariance += (off * (log - logRun) - hintCovariance) * hintGain;
             }
-            logRun += (log - logRun) * gain;
+            double most = runs > MANY ? PI_CLIP : 1e3; // as PIs are, or the two drift apart
+            logRun += Math.max(-most, Math.min(most, log - logRun)) * gain;
             meanRunNs += (runNs - meanRunNs) * gain;
             runs++;
         }
@@ -338,9 +340,9 @@
     private void learn(Attempt a) {
         double run = Math.max(1, now - (a.startedAt >= 0 ? a.startedAt : a.sentAt));
         ClassStats s = a.job.stats;
-        double log = Math.log(run);
-        double value = log - s.expectedLog(a.job.job);
-        double atMeanSpeed = run / Math.exp(relative(a.at));
+        double value = Math.log(run) - s.expectedLog(a.job.job);
+        double taken = (s.runs > MANY ? 0.9 : 1) * Math.max(-4, Math.min(4, relative(a.at)));
+        double atMeanSpeed = run / Math.exp(taken);
         s.learn(a.job.job, Math.log(atMeanSpeed), atMeanSpeed);
         meanRunNs += Math.max(0.01, 1 / ++runs) * (atMeanSpeed * a.job.need - meanRunNs);
         a.at.speed.add(value);
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -633,6 +633,24 @@
         assertNotEquals(0, rig.job(1, 0, 1, 200 * MS));
     }
 
+    /**
+     * One run in ten takes a hundred times longer: the class's mean and the workers' indices share a scale,
+     * and with two kinds of mean they drifted apart, a half in a hundred runs, until the numbers overflowed
+     * and no job was placed any more (after 352,630 runs here).
+     */
+    @Test
+    void theScaleOfRunTimesAndIndicesHolds() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(4);
+        java.util.Random random = new java.util.Random(3);
+        for (int id = 1; id <= 60_000; id++) {
+            rig.done.clear();
+            assertNotEquals(0, rig.job(id), "job " + id);
+            rig.run(id, random.nextInt(10) == 0 ? 2 * MS : MS / 50, null);
+        }
+        double[] kind = rig.module.handOver(rig.now).get("kind k");
+        assertTrue(Math.abs(kind[0]) < 1, "the mean of the indices is about 1, not e^" + kind[0]);
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
