The fault run plays every hard case: deaf client, 2,000 silent, loss of all, drains

Need: the run was to have all hard cases; a client that never reads, 2,000 connections that say nothing, all workers lost with 5,000 queued, and drains were only in tests of their own. Change: they come at a quarter, a half and three quarters of the run, drains all through, with a check that a drained worker gets nothing new after 300 ms. One reader of counters in place of two.

--- a/src/main/java/beechseam/load/FaultRun.java
+++ b/src/main/java/beechseam/load/FaultRun.java
@@ -29,6 +29,13 @@
     private static final int CLIENTS = 20;
     private static final int WORKERS = 30;
     private static final long PATIENCE_NS = 60_000_000_000L;
+    /** What the crowds of the hard cases come to in a full run; a shorter run has its share of them. */
+    private static final int FULL_RUN = 20_000;
+    private static final int QUEUED_AT_THE_LOSS = 5_000;
+    private static final int SILENT = 2_000;
+    private static final int DUE_TO_THE_DEAF = 10_000;
+    /** After an operator's drain nothing new may come later than this. */
+    private static final long DRAIN_GRACE_NS = 300_000_000L;
     private static final byte[] EMPTY = {};
 
     private final ServerProcess server;
@@ -40,9 +47,13 @@
     private final Set<String> twice = new HashSet<>();
     private final List<String> wrong = new ArrayList<>();
     private boolean calm;
+    private int named;
     private int submitted;
     private int dropped;
     private int left;
+    private int drains;
+    private String drained;
+    private long drainedAt;
 
     FaultRun(ServerProcess server, long seed) throws IOException {
         this.server = server;
@@ -50,7 +61,7 @@
     }
 
     /** Submits, leaves, and notes each end that it is told. */
-    private final class FaultyClient extends Speaker {
+    private class FaultyClient extends Speaker {
         final Set<String> owed = new HashSet<>();
         private final Set<String> ended = new HashSet<>();
         private final ArrayList<Boolean> waits = new ArrayList<>();
@@ -109,10 +120,12 @@
 
     /** Takes jobs and does one of many things with them. */
     private final class FaultyWorker extends Speaker {
+        private final String name = "w" + ++named % WORKERS;
         private boolean doomed;
 
         FaultyWorker() throws IOException {
             super(FaultRun.this.loop, server.address);
+            say(Packet.SET_CLIENT_ID, name);
             for (String each : NAMES) {
                 if (calm || random.nextInt(4) > 0) {
                     if (!calm && random.nextInt(4) == 0) {
@@ -142,6 +155,9 @@
         }
 
         private void run(String handle, String function) {
+            if (name.equals(drained) && System.nanoTime() - drainedAt > DRAIN_GRACE_NS) {
+                wrong.add("a drained worker was given " + handle);
+            }
             int times = runs.merge(handle, 1, Integer::sum);
             if (times > 1) {
                 twice.add(handle);
@@ -226,9 +242,18 @@
         for (int i = 0; i < WORKERS; i++) {
             workers.add(new FaultyWorker());
         }
+        double share = Math.min(1, steps / (double) FULL_RUN);
         for (int step = 0; step < steps; step++) {
             step();
+            if (step == steps / 4) {
+                lossOfAll((int) (QUEUED_AT_THE_LOSS * share));
+            } else if (step == steps / 2) {
+                deaf((int) (DUE_TO_THE_DEAF * share));
+            } else if (step == steps * 3 / 4) {
+                silent((int) (SILENT * share));
+            }
         }
+        drain(null);
         calm = true;
         for (int i = 0; i < 4; i++) {
             workers.add(new FaultyWorker());
@@ -253,6 +278,7 @@
         accounts.put("ran_again", twice.size());
         accounts.put("workers_lost", dropped);
         accounts.put("clients_left", left);
+        accounts.put("drains", drains);
         stopInFlight();
         if (ended != (Long) accounts.get("accepted")) {
             wrong.add("accepted " + accounts.get("accepted") + ", ended " + ended);
@@ -264,6 +290,57 @@
         return accounts;
     }
 
+    /** All workers lost at one instant, with so many jobs queued. */
+    private void lossOfAll(int queued) throws IOException {
+        for (int i = 0; i < queued; i++) {
+            clients.get(i % CLIENTS).submit();
+        }
+        until("the queue to fill", () -> clients.stream().allMatch(c -> c.waits.isEmpty()));
+        List.copyOf(workers).forEach(FaultyWorker::drop);
+    }
+
+    /** A client that reads nothing, with so many results due; the server may cut it off. */
+    private void deaf(int jobs) throws IOException {
+        FaultyClient deaf = new FaultyClient() {
+            @Override
+            protected void lost(IOException why) {
+                left++; // as may be
+            }
+        };
+        deaf.pauseReading(true);
+        for (int i = 0; i < jobs; i++) {
+            deaf.submit();
+        }
+        long end = System.nanoTime() + 2_000_000_000L;
+        until("others to be served meanwhile", () -> System.nanoTime() > end);
+        deaf.close();
+    }
+
+    /** Connections that open together, say nothing and go. */
+    private void silent(int count) throws IOException {
+        List<Speaker> silent = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            silent.add(new FaultyClient());
+            loop.turn(0);
+        }
+        until("them to come up", () -> silent.stream().noneMatch(Speaker::connecting));
+        silent.forEach(Speaker::close);
+    }
+
+    /** An operator drains the workers of a name, or (null) lets the drained ones serve again. */
+    private void drain(String name) {
+        if (drained != null) {
+            server.ask("undrain " + drained);
+        }
+        drained = null;
+        if (name != null) {
+            drains++;
+            server.ask("drain " + name);
+            drainedAt = System.nanoTime();
+            drained = name;
+        }
+    }
+
     private void step() throws IOException {
         int pick = random.nextInt(100);
         FaultyClient c = clients.get(random.nextInt(CLIENTS));
@@ -279,6 +356,8 @@
             workers.get(random.nextInt(workers.size())).drop();
         } else if (pick == 96 && random.nextInt(5) == 0) { // all at one instant
             List.copyOf(workers).forEach(FaultyWorker::drop);
+        } else if (pick == 97) { // as it may be, during a retry
+            drain("w" + random.nextInt(WORKERS));
         } else {
             for (int i = 0; i < 20; i++) { // connections that say nothing and go
                 Speaker silent = new FaultyClient();
--- a/src/main/java/beechseam/load/LibraryLoad.java
+++ b/src/main/java/beechseam/load/LibraryLoad.java
@@ -21,8 +21,6 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
@@ -108,9 +106,10 @@
                 twice += runs.get(i) > 1 ? 1 : 0;
             }
             long ended = served.sum() + refused.sum() + failed.sum();
-            boolean agree = figure(counters, "taken") == dispatches && figure(counters,
+            boolean agree = ServerProcess.figure(counters, "taken") == dispatches
+                && ServerProcess.figure(counters,
                 "served") == served.sum()
-                && figure(counters, "faults") == 0;
+                && ServerProcess.figure(counters, "faults") == 0;
             figures.put("dispatches", dispatches);
             figures.put("served", served.sum());
             figures.put("refused", refused.sum());
@@ -149,11 +148,6 @@
         return answer;
     }
 
-    private static long figure(String line, String name) {
-        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(line);
-        return m.find() ? Long.parseLong(m.group(1)) : -1;
-    }
-
     /**
      * What a dispatch adds: one at a time, to a sender that answers at once, so that all the time is the
      * library's own: two hand-overs to its thread and one to the executor.
--- a/src/main/java/beechseam/load/ServerProcess.java
+++ b/src/main/java/beechseam/load/ServerProcess.java
@@ -80,7 +80,12 @@
 
     /** A figure of the counters line. */
     long figure(String name) {
-        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(ask("counters"));
+        return figure(ask("counters"), name);
+    }
+
+    /** A figure of any line of counters, the first of that name; -1 for none. */
+    static long figure(String line, String name) {
+        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(line);
         return m.find() ? Long.parseLong(m.group(1)) : -1;
     }
 
