An unknown key is worded in one place; statements that a line break tore are whole again

Need: read once more, Tree.wrong looked into its own message to tell an unknown key from a wrong value, and NodeConfig worded the same complaint a second time. Change: Tree.unknown serves both, and values are told with every other complaint.

--- a/src/main/java/beechseam/config/GearmanConfig.java
+++ b/src/main/java/beechseam/config/GearmanConfig.java
@@ -137,20 +137,18 @@
         long memory = c.whole("max_memory_mb", 0, 1 << 20, 0) * MB; // 0: half of the heap
         memory = memory == 0 ? Runtime.getRuntime().maxMemory() / 2 : memory;
         int perClient = (int) c.whole("max_jobs_per_client", 0, 100_000_000, 0); // 0: as many as there may be
-        Bounds bounds = new Bounds(packet, memory, (int) c.whole("max_unread_kb", 64, 1024 * 1024,
-            16 * 1024) * 1024,
-            (int) c.whole("max_connections", 1, 1_000_000, 4096), jobs,
-            perClient == 0 ? jobs : perClient,
+        int unread = (int) c.whole("max_unread_kb", 64, 1024 * 1024, 16 * 1024) * 1024;
+        Bounds bounds = new Bounds(packet, memory, unread,
+            (int) c.whole("max_connections", 1, 1_000_000, 4096), jobs, perClient == 0 ? jobs : perClient,
             (int) c.whole("max_functions", 1, 1_000_000, 1000), (int) c.whole("worker_slots", 1, 10_000, 16),
             (int) c.whole("max_targets", 1, 10_000, 48));
         Turns turns = new Turns(c.whole("grab_timeout_ms", 1, MAX_MS, 1000) * MS,
             (int) c.whole("ageing_turn", 0, 1_000_000, 16), c.whole("ageing_ms", 0, MAX_MS, 10_000) * MS,
             c.whole("stop_within_ms", 0, MAX_MS, 10_000) * MS, c.whole("stall_ms", 100, MAX_MS, 30_000) * MS,
             c.flag("admin_shutdown", true));
-        GearmanConfig config = new GearmanConfig(c.address("listen", "127.0.0.1:4730"), c.text("name",
-            "beechseam"),
-            zone, List.copyOf(places), bounds, turns, limits, c.number("cross_zone_price", 0, 1, 0),
-            Map.copyOf(functions), functions.get(ANY));
+        GearmanConfig config = new GearmanConfig(c.address("listen", "127.0.0.1:4730"),
+            c.text("name", "beechseam"), zone, List.copyOf(places), bounds, turns, limits,
+            c.number("cross_zone_price", 0, 1, 0), Map.copyOf(functions), functions.get(ANY));
         c.noOthers();
         return config;
     }
@@ -198,10 +196,10 @@
         most.noOthers();
         List<JobClass> classes = new ArrayList<>();
         for (Mode mode : Mode.values()) {
-            classes.add(new JobClass(mode.name(), mode.background ? background / 4 : aim,
-                mode.background ? background : deadline, stretch, worth * mode.scale, late, effect, group,
-                    window,
-                name));
+            long modeAim = mode.background ? background / 4 : aim;
+            long modeDeadline = mode.background ? background : deadline;
+            classes.add(new JobClass(mode.name(), modeAim, modeDeadline, stretch, worth * mode.scale, late,
+                effect, group, window, name));
         }
         return new Function(List.copyOf(classes), maxQueue);
     }
@@ -217,13 +215,12 @@
      */
     public Settings settings(String name, Function f) {
         List<JobClass> classes = f.classes().stream().map(c -> new JobClass(c.name(), c.aimNs(),
-            c.deadlineNs(),
-            c.stretch(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.windowNs(), name)).toList();
+            c.deadlineNs(), c.stretch(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.windowNs(),
+            name)).toList();
         // Gearman's workers say nothing of their start or load, so there is no cold budget to keep.
         Rules rules = new Rules(300 * MS, Long.MAX_VALUE, 1, 0, 1, 0, false);
         return new Settings(classes, limits, rules, Reports.ANSWERS, false, 1, 0, zone, true, 0,
-            crossZonePrice, 0,
-            0, false);
+            crossZonePrice, 0, 0, false);
     }
 
     public Place place(String clientId) {
--- a/src/main/java/beechseam/config/NodeConfig.java
+++ b/src/main/java/beechseam/config/NodeConfig.java
@@ -101,7 +101,7 @@
     private static void others(Tree c) throws ConfigException {
         for (Map.Entry<String, String> each : c.others().entrySet()) {
             if (each.getValue() != null) {
-                throw c.wrong(each.getKey(), "is not known here; did you mean " + each.getValue() + "?");
+                throw c.unknown(each.getKey(), each.getValue());
             }
             LOG.log(Level.WARNING, "the configuration's key " + c.path(each.getKey()) + " is not known here");
         }
--- a/src/main/java/beechseam/config/Tree.java
+++ b/src/main/java/beechseam/config/Tree.java
@@ -68,9 +68,7 @@
     public void noOthers() throws ConfigException {
         for (Object each : values.keySet()) {
             if (!asked.containsKey(each)) {
-                String near = nearest(each.toString(), LIKE);
-                throw wrong(each.toString(), "is not known here" + (near == null ? "; known are "
-                    + String.join(", ", asked.keySet()) : "; did you mean " + near + "?"));
+                throw unknown(each.toString(), nearest(each.toString(), LIKE));
             }
         }
     }
@@ -124,9 +122,14 @@
     public ConfigException wrong(String key, String problem) {
         Object value = values.get(key);
         boolean plain = value instanceof String || value instanceof Number || value instanceof Boolean;
-        return new ConfigException(path(key), plain && !problem.contains("known") ? problem + " (it is "
-            + value + ")"
-            : problem);
+        return new ConfigException(path(key), plain ? problem + " (it is " + value + ")" : problem);
+    }
+
+    /** A key that nobody asks for; {@code near} is the one that was meant, or null where none is like it. */
+    ConfigException unknown(String key, String near) {
+        return new ConfigException(path(key), "is not known here; "
+            + (near == null ? "known are " + String.join(", ", asked.keySet())
+                : "did you mean " + near + "?"));
     }
 
     private ConfigException missing(String key) {
--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -132,8 +132,7 @@
             // Bytes of the whole packet where its array is kept, and what the job costs besides.
             int charge = Jobs.OVERHEAD + args.length(load) + args.length(1);
             Refusal refusal = server.admission.check(server.jobs.size(), open, f.lines, mode.ordinal(),
-                charge,
-                server.budget);
+                charge, server.budget);
             if (refusal != null) {
                 connection.error(refusal.code(), refusal.why());
                 return;
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -379,8 +379,7 @@
         awake = true;
         if (engine == null) {
             engine = new Engine(server.config.settings(name, known), server.seed ^ name.hashCode(),
-                server.loop::now,
-                server.loop.timers, this, counters);
+                server.loop::now, server.loop.timers, this, counters);
         }
         for (Member<WorkerSession> m : cohorts.everyone()) {
             cohorts.load(m, m.worker.held(), m.worker.slots());
--- a/src/main/java/beechseam/library/Balancer.java
+++ b/src/main/java/beechseam/library/Balancer.java
@@ -116,13 +116,11 @@
         }
         classes.add(PACE);
         Limits limits = new Limits(b.attempts, b.retryAfter.toNanos(), !b.retryAfter.isZero(), true, false,
-            b.copies,
-            0);
+            b.copies, 0);
         Rules rules = new Rules(0, Long.MAX_VALUE, b.coldShare, b.coldFor.toNanos(), b.coldLimit,
             b.coldFor.isZero() ? 0 : b.coldSpan.toNanos(), false);
         Settings settings = new Settings(classes, limits, rules, Reports.ANSWERS, false, 1, 0, b.zone, true,
-            0,
-            b.crossZonePrice, 0, 0, false);
+            0, b.crossZonePrice, 0, 0, false);
         fallback = new ThreadPoolExecutor(1, 1, 1, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), task -> {
             Thread t = new Thread(task, "beechseam-answers");
             t.setDaemon(true);
--- a/src/main/java/beechseam/library/JobType.java
+++ b/src/main/java/beechseam/library/JobType.java
@@ -90,7 +90,6 @@
     JobClass toClass() {
         return new JobClass(name, aim.toNanos(), deadline.toNanos(), stretch, worth, lateWorth,
             Effect.valueOf(repeats.name()), beechseam.Dispatching.Group.valueOf(group.name()),
-                window.toNanos(),
-            kind);
+            window.toNanos(), kind);
     }
 }
