A drop of a function that is refused leaves it as it was

Cause: the admin line drop function took back the operator's hold on it before it found workers or jobs there, so that after ERR the function went by itself once it stood empty. The new case a function that has a worker is not dropped found it, whenever the server's look of each second fell between. Change: it is asked first. Result: the test that provokes it, with a look in between, fails without the change.

--- a/src/main/java/beechseam/gearman/Admin.java
+++ b/src/main/java/beechseam/gearman/Admin.java
@@ -145,8 +145,7 @@
         if (f == null) {
             return "ERR function not found\n";
         }
-        f.pinned = false;
-        if (!f.empty()) {
+        if (!f.unused()) { // and it stays, also once they have gone
             return "ERR there are still connected workers or executing clients\n";
         }
         server.forget(f);
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -402,9 +402,9 @@
         }
     }
 
-    /** Whether it stands empty with no worker and may be forgotten. */
-    boolean empty() {
-        return alive == 0 && open() == 0 && cohorts.members() == 0 && !pinned;
+    /** Whether it stands empty with no worker. */
+    boolean unused() {
+        return alive == 0 && open() == 0 && cohorts.members() == 0;
     }
 
     void close() {
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -200,7 +200,7 @@
         retryStarved();
         for (GearmanFunction f : new ArrayList<>(functions.values())) {
             f.rest(IDLE_NS);
-            if (!f.awake() && f.empty()) {
+            if (!f.awake() && f.unused() && !f.pinned) {
                 forget(f);
             }
         }
--- a/src/test/java/beechseam/gearman/GearmanFaultsTest.java
+++ b/src/test/java/beechseam/gearman/GearmanFaultsTest.java
@@ -492,7 +492,12 @@
         StandIn w = rig.peer().say(Packet.CAN_DO, "gone").sync();
         rig.drop(w);
         rig.net.until("it to be forgotten", () -> rig.server.find("gone") == null);
-        assertNotNull(rig.server.find("made"));
+        StandIn maker = rig.peer().say(Packet.CAN_DO, "made").sync();
+        assertTrue(rig.admin("drop function made").startsWith("ERR"), "it has a worker");
+        rig.drop(maker);
+        rig.net.until("it to have none", () -> rig.server.find("made").cohorts.members() == 0);
+        rig.net.settle(1100); // the server looks every second for what stands empty
+        assertNotNull(rig.server.find("made"), "a drop that was refused has changed nothing");
         assertEquals("OK\n", rig.admin("drop function made"));
         assertNull(rig.server.find("made"));
     }
