--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -91,8 +91,8 @@
     private long now, bornAt;
     private boolean ticking, listFailed, everReported, tableOld = true;
     private double piMin = 1, meanNeed = 1, meanRunNs, runs = 3, meanWorth, othersMean, reportGapNs;
-    private double startLagNs, probeLagNs, waitErrorNs, lateStarts, repeats = 1, probes = Double.MAX_VALUE;
-    private long useCount, watchBackoffNs, lateAt;
+    private double startLagNs, probeLagNs, repeats = 1, probes = Double.MAX_VALUE;
+    private long useCount, watchBackoffNs;
     private long loggedAt, refreshedAt, refused, failed;
 
     /** Run times of a worker or kind: the mean logarithm of run time over what was expected. */
@@ -189,7 +189,7 @@
         Member at;
         int number;
         long sentAt, startedAt = -1, notedAt;
-        double done, bestSlope, expectedWaitNs;
+        double done, bestSlope;
         boolean free, cancelled, over, neverRan;
     }
 
@@ -532,10 +532,7 @@
             }
         }
         double over = Math.max(0, rawLoad(m) + (copy ? h.need : 1) + reserve - m.slots);
-        // Once nothing is sent nothing starts: this must fade by itself, or a bad spell shuts for good.
-        double fade = Math.exp((lateAt - now) / (meanRunNs + reportGapNs));
-        double wait = expectedWait(m, over)
-            + waitErrorNs * fade * Math.max(0, Math.min(1, 3 * lateStarts - 0.5));
+        double wait = expectedWait(m, over);
         if (copy) {
             return over == 0 && (!limits.probes() || now - m.reportAt <= 2 * reportGapNs)
                 && now + h.workNs * time <= h.aimAt;
@@ -555,7 +552,6 @@
         a.sentAt = now;
         a.notedAt = now;
         a.free = rawLoad(m) + h.need <= m.slots;
-        a.expectedWaitNs = expectedWait(m, rawLoad(m) + 1 - m.slots);
         h.attempts.add(a);
         h.out++;
         m.out.add(a);
@@ -714,17 +710,6 @@
         if (a.free) {
             startLagNs += 0.05 * (Math.min(now - a.sentAt, minAimNs) - startLagNs);
         }
-        // The median wait beyond what reports made expect (others send, too), and how many start too late.
-        double error = now - a.sentAt - startLagNs - a.expectedWaitNs;
-        double step = Math.signum(error - waitErrorNs) * a.job.stats.slackNs() * 0.05;
-        // More than the slack shuts no better, and it would take as many more timely starts to open.
-        waitErrorNs = step < 0 ? Math.max(0, waitErrorNs + step)
-            : Math.max(waitErrorNs, Math.min(waitErrorNs + step, a.job.stats.slackNs()));
-        lateAt = now;
-        // Late by a wait that the reports hid, not because it was sent with no time in hand.
-        boolean late = now > a.job.latestStart
-            && a.sentAt + startLagNs + a.expectedWaitNs < a.job.latestStart;
-        lateStarts += 0.05 * ((late ? 1 : 0) - lateStarts);
         cancelAll(a.job, a, true); // one copy runs: what waits is not needed
     }
 
