--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -45,6 +45,7 @@
         this.timers = timers;
         this.egress = egress;
         this.counters = counters;
+        trace("settings", settings);
         inside = true; // the module may act from its constructor on
         module = new Dispatcher(now(), settings, seed, new Doing());
         inside = false;
@@ -54,6 +55,17 @@
         return counters;
     }
 
+    /** A line a event, at level trace: for accounts over a whole fleet. */
+    private static void trace(String event, Object... figures) {
+        if (LOG.isLoggable(Level.TRACE)) {
+            StringBuilder line = new StringBuilder("trace ").append(event);
+            for (Object each : figures) {
+                line.append(' ').append(each);
+            }
+            LOG.log(Level.TRACE, line);
+        }
+    }
+
     public RouteTable routes() {
         return routes;
     }
@@ -124,6 +136,7 @@
             }
         };
         timers.set(r.deadline, Math.min(due, lastAnswerAt));
+        trace("take", r.id, job.jobClass(), budgetNs, job.firstTry());
         tell(() -> module.job(now(), new Job(r.id, job.jobClass(), budgetNs, job.workNs(), job.slots(),
             job.memory(), job.firstTry())));
         return r;
@@ -183,6 +196,7 @@
         tell(() -> {
             hop.heardOf = true;
             if (!hop.over) {
+                trace("start", hop.request.id, hop.number, hop.target);
                 module.started(now(), hop.request.id, hop.number);
             }
         });
@@ -209,6 +223,7 @@
         hop.over = true;
         r.out--;
         counters.count(outcome);
+        trace("end", r.id, hop.number, hop.target, outcome, load);
         if (hop.timeout != null) {
             timers.cancel(hop.timeout);
         }
@@ -222,6 +237,7 @@
     }
 
     public void probed(long target, boolean answered, Load load) {
+        trace("probed", target, answered, load);
         tell(() -> module.probed(now(), target, answered, load));
     }
 
@@ -230,6 +246,7 @@
     public void routes(ListForm form, List<Worker> lines) {
         // At once, not deferred: a hop about to be written must see the newest table.
         List<Worker> shown = routes.apply(form, lines);
+        trace("list", form, now(), shown);
         tell(() -> module.list(now(), form, shown));
     }
 
@@ -273,6 +290,7 @@
             r.hops.add(hop);
             r.out++;
             counters.sent++;
+            trace("send", job, hop.number, worker);
             if (timeout != null) {
                 timers.set(timeout, now() + timeoutNs);
             }
@@ -295,6 +313,7 @@
             Request r = byId.get(job);
             if (r != null && !r.finished) {
                 counters.of(r.jobClass).shed++;
+                trace("shed", job, pauseNs);
                 finish(r);
                 r.ingress.shed(r, pauseNs);
                 forget(r);
@@ -305,6 +324,7 @@
         public void fail(long job) {
             Request r = byId.get(job);
             if (r != null && !r.finished) {
+                trace("fail", job);
                 counters.of(r.jobClass).failed++;
                 finish(r);
                 r.ingress.failed(r, "it could not be done");
@@ -315,6 +335,7 @@
         @Override
         public void probe(long worker) {
             counters.probes++;
+            trace("probe", worker);
             egress.probe(worker);
         }
 
