A connection that looks idle is read once more before it is closed to make room

Cause: PlatformNode.accept closes what is missed least, first of all connections that never said anything for 100 ms. With 0.3 of a core the accept of a rush comes before the reads of requests that lie in the kernel; these count as taken.

--- a/src/main/java/beechseam/http/ServerConnection.java
+++ b/src/main/java/beechseam/http/ServerConnection.java
@@ -109,6 +109,17 @@
         return !busy && !partial && unwritten() == 0;
     }
 
+    /** Closes it unless a request has come that nobody has read yet; whether it is closed now. */
+    public final boolean closeUnlessAsked() {
+        if (!busy) {
+            catchUp();
+        }
+        if (!busy && unwritten() == 0) {
+            close();
+        }
+        return closed();
+    }
+
     /** Ends the connection of a peer that wastes it. */
     public final void sweep(long now) {
         boolean silent = unused() && !partial && now - acceptedAt > REQUEST_NS;
@@ -116,9 +127,9 @@
             busy = true;
             keepAlive = false;
             respond(408, "Content-Type: text/plain\r\n", text("the request did not come in time"));
-        } else if (silent || ending() && now - endedAt > END_NS
-            || unwritten() > 0 && now - lastActivity() > STALL_NS
-            || idle() && now - lastActivity() > IDLE_NS) {
+        } else if (silent || idle() && now - lastActivity() > IDLE_NS) {
+            closeUnlessAsked();
+        } else if (ending() && now - endedAt > END_NS || unwritten() > 0 && now - lastActivity() > STALL_NS) {
             close();
         }
     }
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -236,6 +236,21 @@
         }
     }
 
+    /**
+     * Takes in what the peer has sent already. To be called before a connection that looks idle is closed: a
+     * request that waits unread in the kernel would be lost with it, and on a slow node it may wait for long.
+     */
+    public final void catchUp() {
+        if (connecting || closed || ending || readPaused || full) {
+            return;
+        }
+        try {
+            read();
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
     /** Bytes read and not used up are offered again. */
     public final void again() {
         if (in != null && !closed && !readPaused && in.position() > 0) {
@@ -309,6 +324,9 @@
         } else if (n > 0) {
             lastActivity = loop.now();
             offer();
+        } else if (in.position() == 0) { // nothing has come: the buffer is not kept for it
+            loop.buffers.give(in);
+            in = null;
         }
         if (!closed) {
             interest();
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -182,7 +182,11 @@
         // More than one where the bound has been lowered: else the listener would stay shut beside idle ones.
         IngressConnection least = ingress.size() >= room() ? leastOfUse() : null;
         while (least != null) {
-            least.close();
+            if (least.ending()) {
+                least.close();
+            } else {
+                least.closeUnlessAsked(); // if it has asked meanwhile the next choice is another
+            }
             least = ingress.size() >= room() ? leastOfUse() : null;
         }
         ingress.add(new IngressConnection(this, channel));
@@ -367,7 +371,8 @@
         if (now >= departure.clearsAt()) {
             // One just accepted looks idle until its first bytes are read: a call-back may be on its way.
             List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS
-                && !(each.callbacks() && departure.sparesCallbacks())).forEach(IngressConnection::close);
+                && !(each.callbacks() && departure.sparesCallbacks()))
+                .forEach(IngressConnection::closeUnlessAsked);
         }
         // The listener stays to the last where it is the only one: call-backs come to it.
         if (stopping && leaving() && engine.open() == 0 && ingress.stream()
