In a large group a job first looks for a place with little wait, in any zone

Cause: what serves three nodes. Dispatcher.decide binds a job to three sampled workers, almost always of the own zone; underThreshold lets it queue for 0.7 of its slack, and holds it for a nearer slot, by reports of which 13 in 14 sends are missing; rawLoad counts one own send as 9 of others. Change: all three by the share of the group that can be accounted for, FEW (4) over GroupSize; groups of up to four decide as before.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -25,6 +25,8 @@
     private static final double TOL = 0.25;
     /** Of what this dispatcher has sent a worker since its report, each other is taken to have sent this. */
     private static final double HERD = 0.7;
+    /** Up to so many dispatchers can tell by reports and own sends what the others do; of more, less. */
+    private static final double FEW = 4;
     /** Weight of one run in a worker's PI once it has many; its inverse is how many runs it remembers. */
     private static final double PI_GAIN = 0.08;
     /** Runs after which a worker's own PI outweighs its kind's: sizes are heavy-tailed, few tell little. */
@@ -78,6 +80,7 @@
     private final Rules rules;
     private final Actions actions;
     private final Random random;
+    private final double seen; // share of the group's sends that it can account for
     private final long tickNs;
     private final long minAimNs;
     private final Map<Long, Member> members = new LinkedHashMap<>();
@@ -224,6 +227,7 @@
         rules = settings.rules();
         this.actions = actions;
         random = new Random(seed);
+        seen = Math.min(1, FEW / Math.max(1, settings.groupSize()));
         bornAt = now;
         stats = new ClassStats[settings.classes().size()];
         long aim = Long.MAX_VALUE;
@@ -299,7 +303,7 @@
         }
         double mean = othersMean * m.slots;
         // Others see what we see and choose alike: what we have added since the report, they have in part.
-        double herd = HERD * (settings.groupSize() - 1) * Math.max(0, m.own - m.ownAtReport);
+        double herd = HERD * Math.min(FEW, settings.groupSize() - 1) * Math.max(0, m.own - m.ownAtReport);
         // By the age of what it tells: a report that was late already must not draw a crowd.
         double fade = Math.exp((m.reportAt - reportGapNs / 2 - now) / meanRunNs);
         return m.own + mean + (m.others + herd - mean) * fade;
@@ -485,6 +489,9 @@
         // None of the first drawn answers: they are busy or gone, and a new draw is as good as the old table.
         boolean told = h.sample != null && (!h.sample.isEmpty() || h.draws <= BLIND_AFTER);
         Member m = choose(h, told ? h.sample : members.values(), false);
+        if (told && seen < 1 && (m == null || rawLoad(m) + h.need > m.slots)) {
+            m = choose(h, members.values(), false); // who is asked tells less than a free slot elsewhere
+        }
         if (m != null) {
             place(h, m);
         } else if (expired(h)) {
@@ -520,10 +527,12 @@
         double doubt = doubt(m);
         double time = m.pi * m.slots * doubt / ramp(m, now);
         double left = h.latestStart - now;
-        if (left > Math.max(0, h.latestStart - h.takenAt) * (1.05 - 3 * crossing(h, m))) {
+        if (left > Math.max(0, h.latestStart - h.takenAt) * (1.05 - 3 * seen * crossing(h, m))) {
             return false; // a slot may yet free nearer by: the dearer the crossing, the longer the wait
         }
-        double slack = Math.max(left, h.of.aimNs() * 0.25) * QUEUE_SHARE * h.stats.patience();
+        // Where much is sent unseen, an expected wait is often a longer one: for a while it looks for better.
+        double share = QUEUE_SHARE * (left > 0.8 * (h.latestStart - h.takenAt) ? seen : 1);
+        double slack = Math.max(left, h.of.aimNs() * 0.25) * share * h.stats.patience();
         double reserve = 0; // a less worthy job leaves some room to the next of a worthier class
         for (ClassStats s : stats) {
             if (s.density() > h.stats.density()) {
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -439,6 +439,22 @@
         assertEquals(asked.get(1), rig.workerOf(1), "the least loaded that answered, not the silent one");
     }
 
+    /**
+     * A crowd of dispatchers that each queue at home, as one alone does, stood in line there for a third of
+     * their jobs while slots of other zones idled: what they send each other no report shows in time.
+     */
+    @Test
+    void inALargeGroupAFreeSlotElsewhereIsTakenAtOnce() {
+        for (int group : new int[] {1, 14}) {
+            Rig rig = new Rig(Rig.settings(Reports.ANSWERS, false, group, SAFE));
+            rig.module.list(rig.now, ListForm.CACHED, List.of(Rig.worker(1, "z1", 0, State.READY),
+                Rig.worker(2, "z2", 0, State.READY)));
+            rig.module.probed(rig.now, 1, true, Rig.load(4, 0, 0));
+            rig.module.probed(rig.now, 2, true, Rig.load(0, 0, 4));
+            assertEquals(group == 1 ? 1 : 2, rig.job(1));
+        }
+    }
+
     /** On small workers a whole slot kept back left every second one idle, and refused work that fitted. */
     @Test
     void lessWorthyJobsUseAllSlotsOfAFreeWorker() {
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -340,7 +340,7 @@
     }
 
     /**
-     * A node that gets little processor time accepts a rush before it has read what earlier clients have sent:
+     * A node with little processor time accepts a rush before it has read what earlier clients have sent:
      * closed to make room, they lost requests that counted as taken.
      */
     @Test
