A worker that failed a probe is not asked again within a report's age

Checked: the new test counts more than one probe without the change. Change: Dispatcher.probe keeps a report's age between two probes of one worker.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -1063,7 +1063,8 @@
 
     /** Asks a worker for its load, unless that is under way or spent; true when an answer is to come. */
     private boolean probe(Member m) {
-        if (m.probing || probes < 1) {
+        // One that answers no probe has no newer report, and was asked for each job: by all, without a pause.
+        if (m.probing || probes < 1 || now - m.probeAt < reportGapNs) {
             return m.probing;
         }
         probes--;
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -455,6 +455,18 @@
         }
     }
 
+    /** Of workers that are gone no probe brings news: asked for each job, they took thousands a second. */
+    @Test
+    void aWorkerThatFailsAProbeIsNotAskedAgainForEachJob() {
+        Rig rig = new Rig(Rig.settings(Reports.PROBES, false, 14, SAFE)).workers(1);
+        for (int i = 1; i <= 20; i++) {
+            rig.job(i);
+            rig.module.probed(rig.now, 1, false, null);
+            rig.now += 10 * MS;
+        }
+        assertEquals(1, rig.count("probe 1"), "twenty jobs in half a report's age");
+    }
+
     /** On small workers a whole slot kept back left every second one idle, and refused work that fitted. */
     @Test
     void lessWorthyJobsUseAllSlotsOfAFreeWorker() {
