Many dispatchers each draw two workers, and lists tell loads in place of probes

Probes answered with the same reports ('trace probed ... true', best match 0.5 s earlier, as with answers) and held each job up ('trace take' to first 'trace send' 5 ms, last hundredth 110 ms). Discovery's lists bring live weights of all executors every 0.5 to 1.4 s, 0.65 s old; MemberList read them and nobody used them.

Ruled out, in a model in virtual time with 100 of the real modules that shows the same waits: fewer or more probes, slower fading of reports, integral correction of capacity. At fault: Dispatcher.choose over the whole table, draw/ask (three probes a job), underThreshold, which takes a mean of others for a count and shuts two-slot executors.

Change: where little is seen two workers are drawn by capacity (Mitzenmacher 2000), the lower el has the job; a mean that leaves part of a slot leaves room; live weights are reports; probes are slow ones, on ticks.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -59,21 +59,18 @@
     private static final long MIN_TICK_NS = 20_000_000L;
     private static final int TICKS_PER_AIM = 8;
     /** What probing may cost for each job taken, in the points that the settings price it at. */
-    private static final double PROBE_SPEND = 0.01;
-    /** Workers drawn at random for one job, and how many of them, by lowest el, are asked for their load. */
-    private static final int DRAWN = 8;
-    private static final int ASKED = 3;
-    /** After so many draws that none answers the table decides unasked: it may be asking that fails. */
-    private static final int BLIND_AFTER = 3;
-    /** A job waits for answers of those asked no longer than this share of its slack. */
-    private static final double ASK_SHARE = 0.05;
+    private static final double PROBE_SPEND = 0.003;
+    /** Of more dispatchers than a few, each draws so many workers at random for a job, by what they can do. */
+    private static final int DRAWN = 2;
+    private static final int TRIES = 24;
+    /** A worker of another zone is drawn the less by this, for each part of the mean worth that a crossing costs. */
+    private static final double FAR = 100;
     /** How far back own sends are remembered to date a report; no report is taken to be older. */
     private static final double HISTORY_NS = 4e9;
     private static final long LOG_GAP_NS = 5_000_000_000L;
 
     private static final long TICK = 1;
     private static final long LIST = 2;
-    private static final long ASK = 3;
 
     private final Settings settings;
     private final Limits limits;
@@ -87,20 +84,19 @@
     private final Map<String, Speed> kinds = new LinkedHashMap<>();
     private final Map<Long, Held> jobs = new LinkedHashMap<>();
     private final List<Held> waiting = new ArrayList<>();
-    private final List<Held> asking = new ArrayList<>();
-    private final List<Member> near = new ArrayList<>(), far = new ArrayList<>(), colds = new ArrayList<>();
+    private final List<Member> ready = new ArrayList<>(), colds = new ArrayList<>();
     private final ClassStats[] stats;
 
     private long now, bornAt;
-    private boolean ticking, listFailed, everReported, tableOld = true;
+    private boolean ticking, listFailed, everReported;
     private double piMin = 1, meanNeed = 1, meanRunNs, runs = 3, meanWorth, othersMean, reportGapNs;
-    private double startLagNs, probeLagNs, repeats = 1, copies = 1, probes = Double.MAX_VALUE;
+    private double startLagNs, capacity, repeats = 1, copies = 1, probes = Double.MAX_VALUE;
     private long useCount, watchBackoffNs;
     private long loggedAt, refreshedAt, refused, failed;
 
     /** Run times of a worker or kind: the mean logarithm of run time over what was expected. */
     private static final class Speed {
-        double log, runs;
+        double log, runs, size, slots;
 
         void set(double theLog, double theRuns) {
             log = theLog;
@@ -176,7 +172,7 @@
         final List<Attempt> out = new ArrayList<>();
         final ArrayDeque<double[]> changes = new ArrayDeque<>();
         final ArrayDeque<double[]> coldSent = new ArrayDeque<>();
-        double slots, own, others, ownAtReport, rank, slotsSeen, reports;
+        double slots, own, others, ownAtReport, slotsSeen, reports, capacityTo;
         double doubt = 1, pi = 1;
         Load lastLoad;
         long idle, idleAt, loadChangedAt, reportAt, probeAt, lastUsed, doubtAt;
@@ -202,12 +198,11 @@
         JobClass of;
         ClassStats stats;
         double need;
-        long takenAt, leavesAt, aimAt, latestStart, askUntil;
+        long takenAt, leavesAt, aimAt, latestStart;
         double workNs;
         final List<Attempt> attempts = new ArrayList<>(1);
-        int out, draws;
+        int out;
         boolean answered, streaming;
-        List<Member> sample; // the workers drawn for it
 
         /** The first attempt that may have run or is still out. */
         Attempt firstMayHaveRun() {
@@ -244,7 +239,6 @@
         meanRunNs = minAimNs;
         reportGapNs = minAimNs;
         startLagNs = MIN_TICK_NS;
-        probeLagNs = MIN_TICK_NS / 4;
         watchBackoffNs = minAimNs;
         if (settings.askForList()) {
             askForList();
@@ -266,7 +260,6 @@
             m.loadChangedAt = now;
         }
         m.lastLoad = load;
-        m.reportAt = now;
         double queue = or(load.waiting(), 0);
         double running = or(load.held(), 0) - queue;
         double none = Double.MAX_VALUE;
@@ -276,10 +269,17 @@
             m.slotsSeen += (load.freeSlots() + Math.max(0, running) - m.slotsSeen) / ++m.reports;
             m.slots = Math.max(1, Math.rint(m.slotsSeen));
             m.slotsKnown = true;
+            m.kind.slots = m.slots;
         }
         double inFlight = free < none ? Math.max(running, m.slots - free)
             : Double.isNaN(load.held()) ? or(load.utilization(), 0) * m.slots : running;
         double nrl = inFlight + queue * meanNeed;
+        told(m, nrl);
+    }
+
+    /** What a worker held in all, half a report's age ago. */
+    private void told(Member m, double nrl) {
+        m.reportAt = now;
         double before = m.own;
         double date = now - reportGapNs / 2;
         for (double[] change : m.changes) {
@@ -364,19 +364,20 @@
         }
         refreshedAt = now;
         piMin = Double.MAX_VALUE;
-        int old = 0;
+        capacity = 0;
         colds.clear();
+        ready.clear();
         for (Member m : members.values()) {
+            m.slots = m.slotsKnown || m.kind.slots == 0 ? m.slots : m.kind.slots;
             m.pi = Math.exp(relative(m)) / m.slots;
             if (m.usable()) {
                 piMin = Math.min(piMin, m.pi);
-                if (cold(m)) {
-                    colds.add(m);
-                }
-                old += now - m.reportAt > 2 * reportGapNs ? 1 : -1;
+                (cold(m) ? colds : ready).add(m);
+                double far = m.info.zone().equals(settings.zone()) ? 0 : FAR * settings.crossZonePrice();
+                capacity += cold(m) ? 0 : 1 / (1 + far) / m.pi / doubt(m);
+                m.capacityTo = capacity;
             }
         }
-        tableOld = old > 0 || settings.reports() == Reports.PROBES; // else what jobs bring is enough
     }
 
     // ---- Cold workers
@@ -445,53 +446,41 @@
         return best;
     }
 
-    /** Draws workers and asks those of lowest el whose report is old; true when an answer is to come. */
-    private boolean draw(Held h, List<Member> from) {
-        if (!limits.probes() || !tableOld || probes < 1 || from.isEmpty()) {
-            h.sample = null;
-            return false;
+    /**
+     * Whom a job may go to: all, where the table tells what they hold. Of many dispatchers that were told the same
+     * a while ago all would choose alike; there each draws a few, by what they can do. Mitzenmacher, "How useful
+     * is old information?" (2000): by old news the best of two drawn serves better than the best of all.
+     */
+    private Iterable<Member> candidates(Held h) {
+        if (seen == 1) {
+            return members.values();
         }
-        h.draws++;
-        List<Member> drawn = new ArrayList<>(DRAWN);
-        for (int i = 0; i < DRAWN + colds.size(); i++) { // a turn at a cold worker is not left to chance
-            Member m = i < DRAWN ? from.get(random.nextInt(from.size())) : colds.get(i - DRAWN);
+        List<Member> drawn = new ArrayList<>(colds); // a turn at a cold worker is not left to chance
+        for (int i = 0; i < TRIES && drawn.size() < colds.size() + DRAWN && !ready.isEmpty(); i++) {
+            Member m = readyAt(random.nextDouble() * capacity);
             if (!drawn.contains(m) && suits(h, m)) {
                 drawn.add(m);
-                m.rank = el(m, h);
             }
         }
-        drawn.sort(Comparator.comparingDouble((Member m) -> m.rank).thenComparingLong(m -> m.lastUsed));
-        h.sample = drawn.subList(0, Math.min(ASKED, drawn.size()));
-        boolean asked = false;
-        for (Member m : h.sample) {
-            asked |= now - m.reportAt > reportGapNs && probe(m);
-        }
-        return asked;
+        return drawn;
     }
 
-    /** The job waits, a little, for the load of a drawn sample. */
-    private boolean ask(Held h, List<Member> from) {
-        if (!draw(h, from)) {
-            return false;
+    /** The worker at this place in the sum of capacities; O(log n). */
+    private Member readyAt(double at) {
+        int low = 0;
+        for (int high = ready.size() - 1; low < high;) {
+            int middle = (low + high) / 2;
+            if (ready.get(middle).capacityTo < at) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
         }
-        long wait = (long) Math.min(2 * probeLagNs, Math.max(minAimNs, h.latestStart - now) * ASK_SHARE);
-        h.askUntil = now + wait;
-        asking.add(h);
-        actions.wakeIn(wait, ASK);
-        return true;
+        return ready.get(low);
     }
 
-    /** Those asked have answered, or had the time to: the lowest el of them decides, else that of all. */
     private void decide(Held h) {
-        if (h.sample != null) {
-            h.sample.removeIf(each -> each.probing);
-        }
-        // None of the first drawn answers: they are busy or gone, and a new draw is as good as the old table.
-        boolean told = h.sample != null && (!h.sample.isEmpty() || h.draws <= BLIND_AFTER);
-        Member m = choose(h, told ? h.sample : members.values(), false);
-        if (told && seen < 1 && (m == null || rawLoad(m) + h.need > m.slots)) {
-            m = choose(h, members.values(), false); // who is asked tells less than a free slot elsewhere
-        }
+        Member m = choose(h, candidates(h), false);
         if (m != null) {
             place(h, m);
         } else if (expired(h)) {
@@ -501,18 +490,6 @@
         }
     }
 
-    private void decideDue() {
-        for (int i = 0; i < asking.size();) {
-            Held h = asking.get(i);
-            if (now >= h.askUntil || h.sample.stream().noneMatch(m -> m.probing)) {
-                asking.remove(i);
-                decide(h);
-            } else {
-                i++;
-            }
-        }
-    }
-
     private boolean tried(Held h, Member m) { // out, or failed there only just
         for (Attempt a : h.attempts) {
             if (a.at == m && (!a.over || now - a.sentAt < minAimNs)) {
@@ -540,7 +517,8 @@
                 reserve = RESERVE * m.slots;
             }
         }
-        double over = Math.max(0, rawLoad(m) + (copy ? h.need : 1) + reserve - m.slots);
+        // What others hold is a mean among many: a mean that leaves part of a slot leaves a whole one at times.
+        double over = Math.max(0, rawLoad(m) + (copy ? h.need : seen * (1 + reserve)) - m.slots);
         double wait = expectedWait(m, over);
         if (copy) {
             return over == 0 && (!limits.probes() || now - m.reportAt <= 2 * reportGapNs)
@@ -577,15 +555,13 @@
     }
 
     /** Places what waits, the most worth a unit of work first, then by latest start. */
-    private void placeWaiting(boolean redraw) {
+    private void placeWaiting() {
         for (int i = 0; i < waiting.size();) {
             Held h = waiting.get(i);
-            Member m = choose(h, h.sample == null ? members.values() : h.sample, false);
+            Member m = choose(h, candidates(h), false);
             if (m != null) {
                 waiting.remove(i);
                 place(h, m);
-            } else if (redraw && probes >= 2 * ASKED && ask(h, h.draws % 2 == 0 ? near : far)) {
-                waiting.remove(i);
             } else {
                 i++;
             }
@@ -649,9 +625,7 @@
             answer(h);
             return;
         }
-        if (!ask(h, near)) {
-            decide(h);
-        }
+        decide(h);
     }
 
     private boolean takeRepeat() {
@@ -796,7 +770,7 @@
             cancelAll(h, null, false);
         }
         settle(h);
-        placeWaiting(false);
+        placeWaiting();
     }
 
     @Override
@@ -808,7 +782,6 @@
         }
         h.answered = true;
         waiting.remove(h);
-        asking.remove(h);
         cancelAll(h, null, false);
         forget(h);
     }
@@ -849,10 +822,10 @@
         }
         Attempt a = h.attempts.get(h.attempts.size() - 1);
         boolean stuck = a.startedAt < 0 ? now - a.sentAt > h.of.aimNs() * 0.25 : doubt(a.at) > 2;
-        if (a.over || !stuck || draw(h, near)) {
+        if (a.over || !stuck) {
             return;
         }
-        Member m = choose(h, h.sample == null ? members.values() : h.sample, true);
+        Member m = choose(h, candidates(h), true);
         if (m != null) {
             repeats--;
             copies--;
@@ -878,12 +851,9 @@
             }
             return;
         }
-        if (tag == ASK) {
-            decideDue();
-            return;
-        }
         ticking = false;
         refreshIndices(minAimNs);
+        probeSilent();
         for (Held h : List.copyOf(jobs.values())) {
             h.attempts.forEach(this::watchSilence);
             rescue(h);
@@ -894,7 +864,7 @@
                 answer(h);
             }
         }
-        placeWaiting(true);
+        placeWaiting();
         logState();
         if (!jobs.isEmpty()) {
             startTicking();
@@ -945,7 +915,7 @@
         if (form == ListForm.FULL) {
             for (Member m : members.values()) { // whatever the list does not name is gone
                 Worker w = m.info;
-                m.info = new Worker(w.id(), w.cell(), w.zone(), w.kind(), w.bornNs(), State.GONE);
+                m.info = new Worker(w.id(), w.cell(), w.zone(), w.kind(), w.bornNs(), State.GONE, w.weight());
             }
         }
         for (Worker w : lines) {
@@ -961,17 +931,15 @@
                 m.doubt = 1;
             }
             m.info = w;
-        }
-        members.values().removeIf(m -> m.info.state() == State.GONE && m.out.isEmpty());
-        near.clear();
-        far.clear();
-        for (Member m : members.values()) {
-            if (m.usable()) {
-                (m.info.zone().equals(settings.zone()) ? near : far).add(m);
+            if (settings.liveWeights() && w.weight() > 0) { // its size is the most that one of its kind was given
+                m.kind.size = Math.max(m.kind.size, w.weight());
+                told(m, m.slots * (m.kind.size / w.weight() - 1));
+                everReported = true;
             }
         }
+        members.values().removeIf(m -> m.info.state() == State.GONE && m.out.isEmpty());
         refreshIndices(0);
-        placeWaiting(false);
+        placeWaiting();
     }
 
     /** Slots of a worker that has not reported: as others of its kind have, else as any. */
@@ -1064,17 +1032,19 @@
 
     // ---- Probes
 
-    /** Asks a worker for its load, unless that is under way or spent; true when an answer is to come. */
-    private boolean probe(Member m) {
-        // One that answers no probe has no newer report, and was asked for each job: by all, without a pause.
-        if (m.probing || probes < 1 || now - m.probeAt < reportGapNs) {
-            return m.probing;
+    /** Asks workers that were long not heard of, or are avoided, as far as the price allows. */
+    private void probeSilent() {
+        for (Member m : limits.probes() ? members.values() : List.<Member>of()) {
+            boolean soon = settings.reports() == Reports.PROBES || avoids(m);
+            // One that answers no probe has no newer report: it has a pause all the same.
+            if (m.usable() && !m.probing && probes >= 1
+                && now - Math.max(m.reportAt, m.probeAt) > (soon ? 2 * reportGapNs : HISTORY_NS)) {
+                probes--;
+                m.probing = true;
+                m.probeAt = now;
+                actions.probe(m.info.id());
+            }
         }
-        probes--;
-        m.probing = true;
-        m.probeAt = now;
-        actions.probe(m.info.id());
-        return true;
     }
 
     @Override
@@ -1086,8 +1056,6 @@
         }
         m.probing = false;
         if (answered) {
-            double lag = now - m.probeAt; // most are answered at once: what is slow weighs little
-            probeLagNs += 0.05 * Math.max(-probeLagNs, Math.min(probeLagNs, lag - probeLagNs));
             report(m, load);
             if (doubt(m) > FIRM_DOUBT) {
                 trust(m); // so doubted no job goes there to tell that a silence is over: an answer does
@@ -1095,6 +1063,5 @@
         } else {
             doubt(m, doubt(m) * 1.5);
         }
-        decideDue();
     }
 }
--- a/src/main/java/beechseam/Dispatching.java
+++ b/src/main/java/beechseam/Dispatching.java
@@ -60,12 +60,20 @@
      * What holds for the life of a dispatcher. {@code groupSize} counts the dispatchers, {@code me} is this
      * one's number, {@code progressNs} is the gap between progress notes (0: none). {@code crossZonePrice} is
      * what a crossing costs as a share of the mean worth, {@code handshakePrice} what a connection does. With
-     * {@code worthByWork} a class's worth is that of a unit of its work, else that of a job.
+     * {@code worthByWork} a class's worth is that of a unit of its work, else that of a job. With
+     * {@code liveWeights} a worker's weight is its size over 1 + what it holds a slot, as of a while ago.
      */
     public record Settings(List<JobClass> classes, Limits limits, Rules rules, Reports reports,
                            boolean askForList, int groupSize, int me, String zone, boolean tellsStart,
                            long progressNs, double crossZonePrice, double handshakePrice, double probePrice,
-                           boolean worthByWork) {
+                           boolean worthByWork, boolean liveWeights) {
+        public Settings(List<JobClass> classes, Limits limits, Rules rules, Reports reports,
+                        boolean askForList, int groupSize, int me, String zone, boolean tellsStart,
+                        long progressNs, double crossZonePrice, double handshakePrice, double probePrice,
+                        boolean worthByWork) {
+            this(classes, limits, rules, reports, askForList, groupSize, me, zone, tellsStart, progressNs,
+                crossZonePrice, handshakePrice, probePrice, worthByWork, false);
+        }
     }
 
     /**
@@ -79,8 +87,15 @@
         }
     }
 
-    /** A line of the list; {@code bornNs} is the latest start, 0 when long past. */
-    public record Worker(long id, int cell, String zone, String kind, long bornNs, State state) {
+    /**
+     * A line of the list; {@code bornNs} is the latest start, 0 when long past; {@code weight} a figure of no
+     * unit that {@link Settings#liveWeights} gives a meaning, or NaN.
+     */
+    public record Worker(long id, int cell, String zone, String kind, long bornNs, State state,
+                         double weight) {
+        public Worker(long id, int cell, String zone, String kind, long bornNs, State state) {
+            this(id, cell, zone, kind, bornNs, state, Double.NaN);
+        }
     }
 
     /** A load report; what it does not tell is NaN. {@code held} includes what waits. */
--- a/src/main/java/beechseam/config/ModuleOptions.java
+++ b/src/main/java/beechseam/config/ModuleOptions.java
@@ -94,7 +94,8 @@
             (int) integer(o, "Me", 0), text(o, "Locality", ""),
             flag(family, "TellsStart"), integer(family, "ProgressNs", 0), number(prices, "CrossZone", 0),
             number(prices, "Handshake", 0),
-            number(prices, "Probe", 0), text(o, "CountedBy", "").equals("work")),
+            number(prices, "Probe", 0), text(o, "CountedBy", "").equals("work"),
+            text(o, "WeightSource", "").equals("live")),
             flag(map(o, "Clients"), "MarksRetry"), list(info, "Columns"), text(family, "ReportX0", ""),
             text(family, "ReportX1", ""));
     }
--- a/src/main/java/beechseam/core/RouteTable.java
+++ b/src/main/java/beechseam/core/RouteTable.java
@@ -52,7 +52,7 @@
     private Worker shown(Worker row) {
         State state = row.state() == State.READY && out.contains(row.id()) ? State.DRAINING : row.state();
         long born = Math.max(row.bornNs(), back.getOrDefault(row.id(), 0L));
-        return new Worker(row.id(), row.cell(), row.zone(), row.kind(), born, state);
+        return new Worker(row.id(), row.cell(), row.zone(), row.kind(), born, state, row.weight());
     }
 
     /** Whether new work may still go there: asked again just before a hop's first byte. */
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -176,7 +176,8 @@
                 continue;
             }
             maintenance.listed(s.id(), id);
-            lines.add(new Worker(id, s.cell(), s.zone(), s.kind(), s.startedMs() * 1_000_000L, s.state()));
+            lines.add(new Worker(id, s.cell(), s.zone(), s.kind(), s.startedMs() * 1_000_000L, s.state(),
+                s.weight()));
             if (s.state() != State.GONE) {
                 named.add(id);
                 pool.put(id, s.addr(), s.address());
--- a/src/main/java/beechseam/sim/Adapter.java
+++ b/src/main/java/beechseam/sim/Adapter.java
@@ -191,6 +191,7 @@
         String kind = "";
         long born = 0;
         int status = 0;
+        double weight = Double.NaN;
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String field = in.currentName();
             in.nextToken();
@@ -200,11 +201,12 @@
                 case "Dc" -> zone = in.getText();
                 case "GenerationHw" -> kind = in.getText();
                 case "BornNs" -> born = in.getLongValue();
+                case "Rating" -> weight = in.getDoubleValue();
                 case "Status" -> status = in.getIntValue();
                 default -> in.skipChildren();
             }
         }
         State state = status == 1 ? State.READY : status == 2 ? State.DRAINING : State.GONE;
-        return new Worker(id, cell, zone, kind, born, state);
+        return new Worker(id, cell, zone, kind, born, state, weight);
     }
 }
