--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -60,10 +60,10 @@
     private static final int TICKS_PER_AIM = 8;
     /** What probing may cost for each job taken, in the points that the settings price it at. */
     private static final double PROBE_SPEND = 0.003;
-    /** Of more dispatchers than a few, each draws so many workers at random for a job, by what they can do. */
+    /** Of many dispatchers each draws so many workers at random for a job, by what they can do. */
     private static final int DRAWN = 2;
     private static final int TRIES = 24;
-    /** A worker of another zone is drawn the less by this, for each part of the mean worth that a crossing costs. */
+    /** A worker of another zone is drawn the less by this, times what a crossing costs of the mean worth. */
     private static final double FAR = 100;
     /** How far back own sends are remembered to date a report; no report is taken to be older. */
     private static final double HISTORY_NS = 4e9;
@@ -447,9 +447,9 @@
     }
 
     /**
-     * Whom a job may go to: all, where the table tells what they hold. Of many dispatchers that were told the same
-     * a while ago all would choose alike; there each draws a few, by what they can do. Mitzenmacher, "How useful
-     * is old information?" (2000): by old news the best of two drawn serves better than the best of all.
+     * Whom a job may go to: all, where the table tells what they hold. Many dispatchers that were told the
+     * same a while ago would all choose alike; there each draws a few, by what they can do. Mitzenmacher, "How
+     * useful is old information?" (2000): by old news the best of two drawn serves better than that of all.
      */
     private Iterable<Member> candidates(Held h) {
         if (seen == 1) {
@@ -517,7 +517,7 @@
                 reserve = RESERVE * m.slots;
             }
         }
-        // What others hold is a mean among many: a mean that leaves part of a slot leaves a whole one at times.
+        // What others hold is a mean among many: one that leaves part of a slot leaves a whole one at times.
         double over = Math.max(0, rawLoad(m) + (copy ? h.need : seen * (1 + reserve)) - m.slots);
         double wait = expectedWait(m, over);
         if (copy) {
@@ -931,7 +931,7 @@
                 m.doubt = 1;
             }
             m.info = w;
-            if (settings.liveWeights() && w.weight() > 0) { // its size is the most that one of its kind was given
+            if (settings.liveWeights() && w.weight() > 0) { // its size: the most that one of its kind had
                 m.kind.size = Math.max(m.kind.size, w.weight());
                 told(m, m.slots * (m.kind.size / w.weight() - 1));
                 everReported = true;
