--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -448,8 +448,8 @@
 
     /**
      * Whom a job may go to: all, where the table tells what they hold. Many dispatchers that were told the
-     * same a while ago would all choose alike; there each draws a few, by what they can do. Mitzenmacher, "How
-     * useful is old information?" (2000): by old news the best of two drawn serves better than that of all.
+     * same a while ago would all choose alike; there each draws a few, by what they can do. Mitzenmacher,
+     * "How useful is old information?" (2000): by old news the best of two drawn serves better than of all.
      */
     private Iterable<Member> candidates(Held h) {
         if (seen == 1) {
