--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -26,7 +26,7 @@
     /** Of what this dispatcher has sent a worker since its report, each other is taken to have sent this. */
     private static final double HERD = 0.7;
     /** Up to so many dispatchers can tell by reports and own sends what the others do; of more, less. */
-    private static final double FEW = 4;
+    private static final double FEW = 8;
     /** Weight of one run in a worker's PI once it has many; its inverse is how many runs it remembers. */
     private static final double PI_GAIN = 0.08;
     /** Runs after which a worker's own PI outweighs its kind's: sizes are heavy-tailed, few tell little. */
@@ -202,7 +202,7 @@
         double workNs;
         final List<Attempt> attempts = new ArrayList<>(1);
         int out;
-        boolean answered, streaming;
+        boolean answered, streaming, moved;
 
         /** The first attempt that may have run or is still out. */
         Attempt firstMayHaveRun() {
@@ -222,7 +222,8 @@
         rules = settings.rules();
         this.actions = actions;
         random = new Random(seed);
-        seen = Math.min(1, FEW / Math.max(1, settings.groupSize()));
+        double few = Math.min(1, FEW / Math.max(1, settings.groupSize()));
+        seen = few * few; // of what is sent its own is a share, and its own answers bring a share of the news
         bornAt = now;
         stats = new ClassStats[settings.classes().size()];
         long aim = Long.MAX_VALUE;
@@ -309,6 +310,22 @@
         return m.own + mean + (m.others + herd - mean) * fade;
     }
 
+    /** What others hold, as of now and not as a report of some time ago would have it. */
+    private void believe(Member m, double others) {
+        m.others = others;
+        m.ownAtReport = m.own;
+        m.reportAt = now + (long) (reportGapNs / 2);
+    }
+
+    /** Slots of a worker that its own running jobs leave to others. */
+    private double leftToOthers(Member m) {
+        double left = m.slots;
+        for (Attempt a : m.out) {
+            left -= a.startedAt >= 0 ? a.job.need : 0;
+        }
+        return Math.max(0, left);
+    }
+
     private double sf(Member m) {
         return m.pi / piMin * doubt(m) / ramp(m, now);
     }
@@ -448,7 +465,7 @@
 
     /**
      * Whom a job may go to: all, where the table tells what they hold. Many dispatchers that were told the
-     * same a while ago would all choose alike; there each draws a few, by what they can do. Mitzenmacher,
+     * same a while ago would all choose alike; there each draws some, by what they can do. Mitzenmacher,
      * "How useful is old information?" (2000): by old news the best of two drawn serves better than of all.
      */
     private Iterable<Member> candidates(Held h) {
@@ -456,7 +473,8 @@
             return members.values();
         }
         List<Member> drawn = new ArrayList<>(colds); // a turn at a cold worker is not left to chance
-        for (int i = 0; i < TRIES && drawn.size() < colds.size() + DRAWN && !ready.isEmpty(); i++) {
+        int wanted = colds.size() + (int) Math.max(DRAWN, seen * ready.size());
+        for (int i = 0; i < TRIES + 2 * wanted && drawn.size() < wanted && !ready.isEmpty(); i++) {
             Member m = readyAt(random.nextDouble() * capacity);
             if (!drawn.contains(m) && suits(h, m)) {
                 drawn.add(m);
@@ -479,12 +497,10 @@
         return ready.get(low);
     }
 
-    private void decide(Held h) {
+    private void decide(Held h) { // settle() has asked whether it has time left
         Member m = choose(h, candidates(h), false);
         if (m != null) {
             place(h, m);
-        } else if (expired(h)) {
-            answer(h);
         } else {
             hold(h);
         }
@@ -518,7 +534,7 @@
             }
         }
         // What others hold is a mean among many: one that leaves part of a slot leaves a whole one at times.
-        double over = Math.max(0, rawLoad(m) + (copy ? h.need : seen * (1 + reserve)) - m.slots);
+        double over = Math.max(0, rawLoad(m) + (copy ? h.need : seen * (h.need + reserve)) - m.slots);
         double wait = expectedWait(m, over);
         if (copy) {
             return over == 0 && (!limits.probes() || now - m.reportAt <= 2 * reportGapNs)
@@ -619,23 +635,18 @@
             forget(h);
             return;
         }
-        boolean mayRepeat = h.firstMayHaveRun() == null || h.of.effect() != Effect.UNSAFE;
-        if (!mayRepeat || h.attempts.size() >= limits.maxAttempts() || expired(h)
-            || h.firstMayHaveRun() != null && !takeRepeat()) {
+        boolean again = h.firstMayHaveRun() != null;
+        boolean charged = again && !h.moved; // what was moved had not begun: it is no repeat
+        if (again && h.of.effect() == Effect.UNSAFE || h.attempts.size() >= limits.maxAttempts() || expired(h)
+            || charged && repeats < 1) {
             answer(h);
             return;
         }
+        repeats -= charged ? 1 : 0;
+        h.moved = false;
         decide(h);
     }
 
-    private boolean takeRepeat() {
-        if (repeats < 1) {
-            return false;
-        }
-        repeats--;
-        return true;
-    }
-
     /** No start can be of use any more, or the client is about to leave. */
     private boolean expired(Held h) {
         return now >= h.leavesAt - 2 * tickNs || h.of.lateWorth() <= 0 && now > h.latestStart;
@@ -692,6 +703,11 @@
         }
         a.startedAt = now;
         a.notedAt = now;
+        // It begins: others hold what its own leave free, and what came behind it while it waited.
+        double behind = othersMean * a.at.slots * Math.min(1, (now - a.sentAt) / meanRunNs);
+        if (rawLoad(a.at) - a.at.own > leftToOthers(a.at) + behind) {
+            believe(a.at, leftToOthers(a.at) + behind);
+        }
         if (a.free) {
             startLagNs += 0.05 * (Math.min(now - a.sentAt, minAimNs) - startLagNs);
         }
@@ -803,30 +819,49 @@
         m.doubtAt = now;
     }
 
-    /** Raises the doubt of a worker that is silent on an attempt where it should have spoken, by how long. */
+    /**
+     * A job that has not begun when a free worker would have told so waits for others': that is load, not a
+     * fault. Silence past the time in which what they hold is worked off is one, and so is silence of a run.
+     */
     private void watchSilence(Attempt a) {
+        if (a.over || !settings.tellsStart()) {
+            return;
+        }
         double grace = 2 * startLagNs + 2 * tickNs;
-        double due = a.startedAt < 0 ? (a.free ? 0 : Double.MAX_VALUE)
-            : settings.progressNs() > 0 ? settings.progressNs() : Double.MAX_VALUE;
-        double silent = now - a.notedAt - due - grace;
-        if (settings.tellsStart() && !a.over && silent > 0) {
-            doubt(a.at, 1 + silent / grace);
+        double silent = now - a.notedAt;
+        double due = settings.progressNs() > 0 ? settings.progressNs() : Double.MAX_VALUE;
+        if (a.startedAt < 0) {
+            double least = leftToOthers(a.at);
+            if (silent > grace - tickNs && rawLoad(a.at) - a.at.own < least) {
+                believe(a.at, least);
+            }
+            due = (rawLoad(a.at) - a.at.own + 1) * meanRunNs * a.at.pi;
+            grace += due;
+        }
+        if (silent > due + 2 * startLagNs + 2 * tickNs) {
+            doubt(a.at, 1 + (silent - due - (a.startedAt < 0 ? 0 : grace)) / grace);
         }
     }
 
-    /** A job that waits there, or runs at a doubted worker, gets a copy where one would still be in time. */
+    /**
+     * A job that waits there, or runs at a doubted worker, gets a copy where one would still be in time.
+     * Where a job may have but one attempt out, one that waits is taken back and goes where it need not.
+     */
     private void rescue(Held h) {
-        if (!limits.copies() || h.answered || h.out != 1 || h.of.effect() == Effect.UNSAFE || h.streaming
-            || h.attempts.size() >= limits.maxAttempts() || repeats < 1 || copies < 1) {
+        boolean moves = !limits.copies() && limits.cancel();
+        if (h.answered || h.out != 1 || h.of.effect() == Effect.UNSAFE || h.streaming
+            || h.attempts.size() >= limits.maxAttempts()
+            || !moves && (!limits.copies() || repeats < 1 || copies < 1)) {
             return;
         }
         Attempt a = h.attempts.get(h.attempts.size() - 1);
-        boolean stuck = a.startedAt < 0 ? now - a.sentAt > h.of.aimNs() * 0.25 : doubt(a.at) > 2;
-        if (a.over || !stuck) {
-            return;
-        }
-        Member m = choose(h, candidates(h), true);
-        if (m != null) {
+        boolean stuck = a.startedAt < 0 ? now - a.sentAt > h.of.aimNs() * 0.25 : !moves && doubt(a.at) > 2;
+        Member m = a.over || a.cancelled || !stuck ? null : choose(h, candidates(h), true);
+        if (m != null && moves) {
+            h.moved = true; // settle() sends it on once its end is told
+            a.cancelled = true;
+            actions.cancel(h.job.id(), a.number);
+        } else if (m != null) {
             repeats--;
             copies--;
             place(h, m);
@@ -1024,9 +1059,8 @@
     }
 
     private static void take(Map<String, double[]> all, String name, int length, Consumer<double[]> taker) {
-        double[] figures = all.get(name);
-        if (figures != null && figures.length == length) {
-            taker.accept(figures);
+        if (all.get(name) != null && all.get(name).length == length) {
+            taker.accept(all.get(name));
         }
     }
 
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -35,6 +35,7 @@
     private final Map<String, Request> byCorrelation = new HashMap<>();
     // The module is never entered while it acts: what its actions bring about at once waits here.
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+    private final boolean copies;
     private boolean inside;
     private long lastId;
     private long lastAnswerAt = Long.MAX_VALUE;
@@ -45,6 +46,7 @@
         this.timers = timers;
         this.egress = egress;
         this.counters = counters;
+        copies = settings.limits().copies();
         trace("settings", settings);
         inside = true; // the module may act from its constructor on
         module = new Dispatcher(now(), settings, seed, new Doing());
@@ -304,7 +306,11 @@
                 return;
             }
             Hop hop = r.hops.get(attempt);
-            egress.cancel(hop);
+            if (r.finished || copies) {
+                egress.cancel(hop);
+            } else if (!egress.takeBack(hop)) {
+                return;
+            }
             tell(() -> end(hop, Outcome.CANCELLED, null, null));
         }
 
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -51,6 +51,14 @@
         }
     }
 
+    @Override
+    public boolean takeBack(Hop hop) {
+        if (hop.carrier instanceof Handing handing) {
+            handing.takeBack();
+        }
+        return false;
+    }
+
     @Override
     public void probe(long id) {
         EgressPool.Target target = pool.target(id);
@@ -138,6 +146,17 @@
             engine.ended(hop, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
         }
 
+        /**
+         * Only what is confirmed counts: two calls to two executors may overtake each other, and the second
+         * would have a copy. Before the 202 there is nobody to confirm, and silence ends the hop soon.
+         */
+        void takeBack() {
+            if (accepted && !givenUp && !target.gone) {
+                pool.send(target, new Delete(target, hop.request.correlation,
+                    () -> engine.ended(hop, Outcome.CANCELLED, null, null)));
+            }
+        }
+
         /**
          * Once taken it is taken back by DELETE. Before the 202 its connection is closed, to the same end: a
          * machine that has vanished never answers, and its connections would be held for good.
@@ -149,7 +168,7 @@
             givenUp = true;
             pool.loop.timers.cancel(silence);
             if (accepted && !target.gone) {
-                pool.send(target, new Delete(target, hop.request.correlation));
+                pool.send(target, new Delete(target, hop.request.correlation, () -> { }));
             } else if (connection != null) {
                 connection.abandon();
             }
@@ -159,10 +178,13 @@
     private static final class Delete extends Exchange {
         private final EgressPool.Target target;
         private final String id;
+        private final Runnable confirmed;
 
-        Delete(EgressPool.Target target, String id) {
+        /** {@code confirmed}: the executor says that it holds the job no more. */
+        Delete(EgressPool.Target target, String id, Runnable confirmed) {
             this.target = target;
             this.id = id;
+            this.confirmed = confirmed;
         }
 
         @Override
@@ -178,12 +200,14 @@
 
         @Override
         void answered(HttpParser answer) {
-            // Whatever it says, the node has given the attempt up.
+            if (answer.status() / 100 == 2) {
+                confirmed.run();
+            } // else it has ended there, and its end is on its way
         }
 
         @Override
         void broken(boolean neverRan) {
-            // As above.
+            // A hop that was given up has ended here; one that was to be taken back stays out.
         }
     }
 
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -697,6 +697,103 @@
         assertTrue(Math.abs(kind[0]) < 1, "the mean of the indices is about 1, not e^" + kind[0]);
     }
 
+    private static Settings oneAttemptOut(int group, JobClass... classes) {
+        Settings s = Rig.settings(Reports.ANSWERS, false, group, classes);
+        Limits limits = new Limits(3, S, true, true, false, false, 10 * S);
+        return new Settings(s.classes(), limits, s.rules(), s.reports(), false, group, 0, "z1", true, 2 * S,
+            0.02, 0, 0, false);
+    }
+
+    /** Behind another node's job a start is late though all is well: that is load, and no doubt follows. */
+    @Test
+    void aLateStartTellsLoadBeforeItRaisesDoubt() {
+        Rig rig = new Rig(oneAttemptOut(5, SAFE)).workers(2);
+        long busy = rig.job(1);
+        rig.tick(50 * MS);
+        rig.tick(50 * MS);
+        rig.tick(50 * MS);
+        assertFalse(rig.module.avoids(rig.now, busy), "a run of the class may be before it");
+        rig.job(2);
+        assertNotEquals(busy, rig.workerOf(2), "the other has room for all that is known");
+        rig.module.started(rig.now, 2, 0);
+        assertNotEquals(busy, rig.job(3), "it is taken to be full, the other has begun at once");
+        for (int i = 0; i < 100; i++) {
+            rig.tick(50 * MS);
+        }
+        assertTrue(rig.module.avoids(rig.now, busy), "past the time that takes it is a fault");
+    }
+
+    /** Where a job may have one attempt out, one that waits is taken back, and goes on once that is told. */
+    @Test
+    void aJobThatWaitsIsTakenBackAndGoesWhereItNeedNot() {
+        Rig rig = new Rig(oneAttemptOut(1, SAFE)).workers(2);
+        long first = rig.job(1);
+        for (int i = 0; i < 6 && rig.count("cancel 1") == 0; i++) {
+            rig.tick(50 * MS);
+        }
+        assertTrue(rig.did("cancel 1 0"), "it has not begun in a quarter of its aim");
+        assertEquals(1, rig.count("send 1 "), "and no second is sent before the first has ended");
+        rig.end(1, 0, Outcome.CANCELLED, null);
+        assertEquals(2, rig.count("send 1 "));
+        assertNotEquals(first, rig.workerOf(1));
+        rig.module.started(rig.now, 1, 1);
+        for (int i = 0; i < 20; i++) {
+            rig.tick(50 * MS);
+        }
+        assertEquals(1, rig.count("cancel 1 "), "what runs stays where it is");
+    }
+
+    @Test
+    void aMovedJobIsNotCountedAsARepeatAndAnUnsafeOneIsNotMoved() {
+        Rig rig = new Rig(oneAttemptOut(5, SAFE, UNSAFE)).workers(2);
+        for (int i = 1; i <= 8; i++) {
+            rig.job(i);
+            for (int k = 0; k < 6 && rig.count("cancel " + i + " ") == 0; k++) {
+                rig.tick(50 * MS);
+            }
+            rig.end(i, 0, Outcome.CANCELLED, null);
+            assertEquals(2, rig.count("send " + i + " "), "job " + i + ": " + rig.done);
+            rig.module.started(rig.now, i, 1);
+            rig.now += 10 * MS;
+            rig.end(i, 1, Outcome.SERVED, Rig.load(0, 0, 4));
+        }
+        rig.job(100, 1, 1, 4 * S);
+        for (int i = 0; i < 10; i++) {
+            rig.tick(50 * MS);
+        }
+        assertEquals(0, rig.count("cancel 100"));
+    }
+
+    /** A job of four slots where one is free would stand before all others until three more are. */
+    @Test
+    void aWideJobNeedsRoomForAllItsSlots() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(1);
+        rig.job(1);
+        rig.run(1, 100 * MS, Rig.load(0, 0, 4));
+        for (int i = 2; i <= 4; i++) {
+            assertEquals(1, rig.job(i));
+            rig.module.started(rig.now, i, 0);
+        }
+        rig.tick(50 * MS);
+        assertEquals(0, rig.job(10, 0, 4, 4 * S), "held, and not queued behind three runs");
+        assertEquals(1, rig.job(11), "one slot is free, and a narrow job takes it");
+    }
+
+    /** Five or eight nodes see enough of each other to choose among all workers; a hundred do not. */
+    @Test
+    void someNodesMoreDoNotMakeACrowd() {
+        for (int group : new int[] {5, 8, 100}) {
+            Rig rig = new Rig(Rig.settings(Reports.ANSWERS, false, group, SAFE)).workers(12);
+            Set<Long> used = new HashSet<>();
+            for (int i = 1; i <= 12; i++) {
+                used.add(rig.job(i));
+                rig.module.started(rig.now, i, 0);
+                rig.now += MS;
+            }
+            assertEquals(group <= 8, used.size() == 12, "of " + group + ": " + used);
+        }
+    }
+
     @Test
     void modulesAndSourcesKeepTheirSize() throws IOException {
         List<String> module = Files.readAllLines(Path.of("src/main/java/beechseam/Dispatcher.java"));
