The test of late starts waits long enough to fail without its change

Seen: with the old Dispatcher four of the five new tests failed, this one passed, since 150 ms raised a doubt of 1.07 only. After 350 ms the old one avoids the worker, the new one does not.

--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -709,9 +709,9 @@
     void aLateStartTellsLoadBeforeItRaisesDoubt() {
         Rig rig = new Rig(oneAttemptOut(5, SAFE)).workers(2);
         long busy = rig.job(1);
-        rig.tick(50 * MS);
-        rig.tick(50 * MS);
-        rig.tick(50 * MS);
+        for (int i = 0; i < 7; i++) {
+            rig.tick(50 * MS);
+        }
         assertFalse(rig.module.avoids(rig.now, busy), "a run of the class may be before it");
         rig.job(2);
         assertNotEquals(busy, rig.workerOf(2), "the other has room for all that is known");
