Runs of a cold worker count as if warm, and one that has just started is tried once

From 15 s on a third of all jobs were refused with all workers listed: "[24.76] INFO: ready 15 doubted 1 waiting 5 refused 113 failed 0". Dispatcher.learn took a cold worker's run for its speed, and sf divides by the ramp as well; the kind's index and the class's run times went along. And sf made a cold worker's el four to eight times that of others, so one that was put back stayed unused: "put back 2, of them 1 left unused".

Change: learn() takes a run's time by the ramp at its start; where a node can account for what is sent, one that has got nothing since its start is weighed as if warm, for one job. A new process has no record of sends.

Both tests fail with the old Dispatcher.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -327,7 +327,8 @@
     }
 
     private double sf(Member m) {
-        return m.pi / piMin * doubt(m) / ramp(m, now);
+        // One that has just started gets a job at once: it warms by use, and its run tells more than a guess.
+        return m.pi / piMin * doubt(m) / (seen == 1 && m.coldSent.isEmpty() ? 1 : ramp(m, now));
     }
 
     /** Effective load with the job on it, by the paper: floor((sf/tol)·(nrl + pbl·need)), pbl being 1. */
@@ -359,7 +360,8 @@
 
     /** A run has ended: its time against what was expected moves the PI of the worker and of its kind. */
     private void learn(Attempt a) {
-        double run = Math.max(1, now - (a.startedAt >= 0 ? a.startedAt : a.sentAt));
+        long from = a.startedAt >= 0 ? a.startedAt : a.sentAt;
+        double run = Math.max(1, (now - from) * ramp(a.at, from)); // as if warm: the ramp counts by itself
         ClassStats s = a.job.stats;
         double value = Math.log(run) - s.expectedLog(a.job.job);
         double taken = (s.runs > MANY ? 0.9 : 1) * Math.max(-4, Math.min(4, relative(a.at)));
@@ -922,14 +924,13 @@
     }
 
     private boolean avoids(Member m) {
-        return m.usable() && doubt(m) > 2;
+        return m != null && m.usable() && doubt(m) > 2;
     }
 
     /** Whether the worker is passed over for its doubt, as a rule; for the host to tell. */
     public boolean avoids(long at, long worker) {
         now = at;
-        Member m = members.get(worker);
-        return m != null && avoids(m);
+        return avoids(members.get(worker));
     }
 
     // ---- Membership
@@ -964,6 +965,7 @@
             } else if (w.bornNs() != m.info.bornNs()) { // a new process: the old one is void
                 m.others = 0;
                 m.doubt = 1;
+                m.coldSent.clear();
             }
             m.info = w;
             if (settings.liveWeights() && w.weight() > 0) { // its size: the most that one of its kind had
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -779,6 +779,48 @@
         assertEquals(1, rig.job(11), "one slot is free, and a narrow job takes it");
     }
 
+    /** Runs of a cold worker are long by its ramp; taken for its speed they shut it when it is warm. */
+    @Test
+    void runsOfAColdWorkerDoNotMakeItSlowForGood() {
+        Rig rig = new Rig(Rig.settings(SAFE));
+        long born = rig.now;
+        Worker warm = Rig.worker(1, "z1", 0, State.READY);
+        Worker cold = Rig.worker(2, "z1", born, State.READY);
+        Worker out = Rig.worker(1, "z1", 0, State.DRAINING);
+        long id = 0;
+        for (int i = 0; i < 10; i++) { // 100 ms when warm
+            rig.module.list(rig.now, ListForm.CHANGES, List.of(warm));
+            rig.job(++id);
+            rig.run(id, 100 * MS, Rig.load(0, 0, 4));
+            rig.module.list(rig.now, ListForm.CHANGES, List.of(out, cold));
+            rig.now = Math.max(rig.now, born + 3 * S);
+            if (rig.job(++id) == 2) {
+                double ramp = 0.25 + 0.75 * (rig.now - born) / (8.0 * S);
+                rig.run(id, (long) (100 * MS / ramp), Rig.load(0, 0, 4));
+            }
+            rig.tick(10 * MS);
+        }
+        rig.now = born + 20 * S;
+        rig.module.list(rig.now, ListForm.CHANGES, List.of(warm));
+        rig.tick(MS);
+        int[] got = new int[3];
+        for (int i = 0; i < 8; i++) {
+            got[(int) rig.job(++id)]++;
+        }
+        assertTrue(got[2] >= 4, "as fast as the other now that it is warm: " + got[1] + " and " + got[2]);
+    }
+
+    /** A worker that came back gets a job soon, though others have room, and no second by that right. */
+    @Test
+    void aWorkerThatHasJustStartedIsTriedOnce() {
+        Rig rig = new Rig(Rig.settings(SAFE)).workers(1);
+        rig.module.list(rig.now, ListForm.CHANGES, List.of(Rig.worker(2, "z1", rig.now, State.READY)));
+        rig.now += 2 * S;
+        rig.module.wake(rig.now, 1);
+        assertEquals(Set.of(1L, 2L), Set.of(rig.job(1), rig.job(2)), "no run of the new one is known");
+        assertEquals(1, rig.job(3), "one is out there: by its ramp it would take longer than here");
+    }
+
     /** Five or eight nodes see enough of each other to choose among all workers; a hundred do not. */
     @Test
     void someNodesMoreDoNotMakeACrowd() {
