--- /dev/null
+++ b/src/test/java/beechseam/HardDaysTest.java
@@ -0,0 +1,311 @@
+package beechseam;
+
+import static beechseam.VirtualDay.MS;
+import static beechseam.VirtualDay.S;
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.Dispatching.*;
+import beechseam.VirtualDay.Box;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Hard days for many nodes together: real engines and modules in virtual time, the same at each run. */
+class HardDaysTest {
+    private static final Limits ONE_OUT = new Limits(3, 2 * S, true, true, false, false, 10 * S);
+    private static final Rules RULES = new Rules(250 * MS, 10 * S, 0.12, 23 * S, 3, S, false);
+
+    /** Long runs on 15 workers of five halls, five nodes; jobs of 1 to 4 slots, queues in order. */
+    private static VirtualDay calendar(long seed, boolean starts) {
+        List<JobClass> classes = List.of(
+            new JobClass("free", 250 * MS, 6 * S, 1.75, 3, 0, Effect.SAFE, Group.ALL, 0, null),
+            new JobClass("book", 300 * MS, 12 * S, 2.5, 8, 0, Effect.KEYED, Group.ZONE, 20 * S, null),
+            new JobClass("remind", S, 25 * S, 2.5, 2, 0, Effect.KEYED, Group.CELL, 40 * S, null),
+            new JobClass("series", 1500 * MS, 25 * S, 1.75, 8, 0, Effect.KEYED, Group.CELL, 40 * S, null));
+        Settings s = new Settings(classes, ONE_OUT, RULES, Reports.ANSWERS, false, 5, 0, "a", starts, 0, 0.02,
+            0, 0, false);
+        VirtualDay day = new VirtualDay(s, seed);
+        day.zones = List.of("a", "b", "c", "d", "e");
+        day.shares = new double[] {0.5, 0.22, 0.15, 0.13};
+        day.meanWorks = new double[] {0.48 * S, S, 1.9 * S, 1.9 * S};
+        day.slotShares = new double[][] {{1}, {0.8, 0.2}, {0.8, 0.2}, {0.6, 0.25, 0.15}};
+        day.spread = 1.2;
+        for (int i = 0; i < 15; i++) {
+            day.box(100 + i, day.zones.get(i % 5), i % 5, i % 5 < 3 ? 5 : 4, i % 5 < 3 ? 1.5 : 0.95);
+        }
+        return day;
+    }
+
+    private static void end(VirtualDay day) {
+        day.run(40 * S);
+        assertEquals(List.of(), day.broken);
+        assertEquals(0, day.owed, "each has its answer");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aWorkerFastInFailingDoesNotLookIdle(long seed) {
+        VirtualDay day = calendar(seed, true);
+        day.begin(5);
+        day.load(30, 40 * S);
+        day.run(10 * S);
+        day.sends.clear();
+        Box[] bad = {day.boxes.get(100L), day.boxes.get(106L)};
+        for (Box b : bad) {
+            b.fails = 1;
+        }
+        day.run(15 * S);
+        int all = day.sends.values().stream().mapToInt(Integer::intValue).sum();
+        int toBad = day.sends.getOrDefault(100L, 0) + day.sends.getOrDefault(106L, 0);
+        for (Box b : bad) {
+            b.fails = 0;
+        }
+        end(day);
+        assertTrue(toBad < all * 2 / 15, toBad + " of " + all + " went to two of 15 that fail all at once");
+        assertTrue(day.share(-1) > 0.9, day.share(-1) + " " + day);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aQuarterNineTimesSlower(long seed) {
+        VirtualDay day = calendar(seed, true);
+        day.begin(5);
+        day.load(26, 40 * S);
+        day.run(10 * S);
+        for (long id = 100; id < 104; id++) {
+            day.boxes.get(id).slow = 9;
+        }
+        day.run(15 * S);
+        for (long id = 100; id < 104; id++) {
+            day.boxes.get(id).slow = 1;
+        }
+        end(day);
+        assertTrue(day.share(-1) > 0.955, day.share(-1) + " " + day);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aHallIsCutOffWithKeyedJobsInIt(long seed) {
+        VirtualDay day = calendar(seed, true);
+        day.begin(5);
+        day.load(40, 40 * S);
+        day.run(10 * S);
+        day.boxes.values().stream().filter(b -> b.zone.equals("b")).forEach(b -> b.silent = true);
+        day.run(17 * S);
+        day.boxes.values().stream().filter(b -> b.zone.equals("b")).forEach(b -> b.silent = false);
+        end(day);
+        assertTrue(day.share(-1) > 0.945, day.share(-1) + " " + day);
+    }
+
+    @Test
+    void aWideJobAtTheHeadOfALineHoldsUpFew() {
+        VirtualDay day = calendar(3, true);
+        day.slotShares = new double[][] {{1}, {1}, {1}, {0, 0, 1}};
+        day.begin(5);
+        day.load(24, 40 * S);
+        day.run(40 * S);
+        end(day);
+        assertTrue(day.share(-1) > 0.975, day.share(-1) + " " + day);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void aColdWorkerIsNotPushedOverByAllTogetherAndIsUsed(int seed) {
+        VirtualDay day = calendar(seed, true);
+        day.begin(5);
+        day.load(36, 40 * S);
+        day.run(10 * S);
+        List<Box> fresh = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Box b = day.box(200 + i, day.zones.get(i), i, 5, 1.5);
+            b.born = day.now;
+            fresh.add(b);
+            day.tell(b, S);
+        }
+        day.run(10 * S);
+        fresh.forEach(b -> assertTrue(day.sends.containsKey(b.id), "used within ten seconds: " + day.sends));
+        day.run(20 * S);
+        end(day);
+        fresh.forEach(b -> assertFalse(b.fell));
+        assertTrue(day.mostOfBudget < 1, "" + day.mostOfBudget);
+    }
+
+    @Test
+    void overloadRefusesTheLeastInWorthSaysWhenAndStarvesNobody() {
+        VirtualDay day = calendar(4, true);
+        day.clientTries = 4;
+        day.begin(5);
+        day.load(92, 40 * S);
+        day.run(40 * S);
+        end(day);
+        for (int c = 0; c < 4; c++) {
+            assertTrue(day.share(c) > 0.25, "class " + c + ": " + day.share(c) + " " + day);
+        }
+        assertTrue(day.share(1) > day.share(0), "book, of more worth, before free: " + day);
+        assertTrue(day.share(-1) > 0.64, day.share(-1) + " " + day);
+        assertTrue(day.pauses.stream().allMatch(p -> p > 0), "each is told when to come back");
+    }
+
+    @Test
+    void listsThatComeFiveSecondsLateAndKnowProcessesOnly() {
+        VirtualDay day = calendar(5, true);
+        day.begin(5);
+        day.load(24, 40 * S);
+        for (int i = 0; i < 4; i++) { // goes silent first, and is listed as gone five seconds later
+            Box b = day.boxes.get(100L + 3 * i);
+            day.after((5 + 6 * i) * S, () -> b.silent = true);
+            day.after((10 + 6 * i) * S, () -> {
+                b.state = State.DRAINING;
+                day.tell(b, 300 * MS);
+            });
+        }
+        day.run(40 * S);
+        end(day);
+        assertTrue(day.share(-1) > 0.98, day.share(-1) + " " + day);
+    }
+
+    @Test
+    void noReportsNoStartsNoProbesNoCopies() {
+        VirtualDay day = calendar(6, false);
+        day.reporting = false;
+        day.begin(5);
+        day.load(26, 40 * S);
+        day.run(40 * S);
+        end(day);
+        assertTrue(day.share(-1) > 0.96, day.share(-1) + " " + day);
+    }
+
+    /** Short runs on 64 workers of three zones, a hundred nodes: each sees one in a hundred of all. */
+    private static VirtualDay fleet(long seed) {
+        JobClass safe = new JobClass("safe", 80 * MS, 5 * S, 2, 3, 0, Effect.SAFE, Group.ALL, 0, null);
+        JobClass keyed = new JobClass("keyed", 200 * MS, 6 * S, 2.5, 8, 0, Effect.KEYED, Group.ZONE, 10 * S,
+            null);
+        Limits limits = new Limits(6, 2 * S, true, true, false, true, 60 * S);
+        Rules rules = new Rules(300 * MS, 10 * S, 0.34, 9 * S, 3, 2 * S, false);
+        Settings s = new Settings(List.of(safe, keyed), limits, rules, Reports.ANSWERS, false, 100, 0, "a",
+            true, S, 0.03, 0, 0, true);
+        VirtualDay day = new VirtualDay(s, seed);
+        day.zones = List.of("a", "b", "c");
+        day.shares = new double[] {0.8, 0.2};
+        day.meanWorks = new double[] {120 * MS, 120 * MS};
+        day.slotShares = new double[][] {{1}, {1}};
+        day.fifo = false;
+        day.cancelStops = false;
+        for (int i = 0; i < 64; i++) {
+            day.box(100 + i, day.zones.get(i % 3), i % 3, i % 2 == 0 ? 2 : 5, i % 2 == 0 ? 1.8 : 0.9);
+        }
+        return day;
+    }
+
+    @Test
+    void mostOfAHundredRestartInOneInstantWithAnOldListOrNone() {
+        VirtualDay day = fleet(1);
+        day.begin(100);
+        List<Worker> old = day.list();
+        day.load(1100, 14 * S);
+        day.run(5 * S);
+        Box gone = day.boxes.get(100L);
+        gone.state = State.DRAINING;
+        day.tell(gone, 300 * MS);
+        day.run(2 * S);
+        int before = VirtualDay.sum(day.refused);
+        for (int i = 0; i < 70; i++) {
+            VirtualDay.Node n = day.nodes.get(i);
+            n.restart();
+            if (i % 2 == 0) { // the list as it was, and the news soon after
+                n.engine.routes(ListForm.CACHED, old);
+            }
+            day.after(200 * MS, () -> n.engine.routes(ListForm.FULL, day.list()));
+        }
+        gone.toldDraining = day.now + 200 * MS;
+        day.run(7 * S);
+        day.run(8 * S);
+        assertEquals(List.of(), day.broken);
+        int refused = VirtualDay.sum(day.refused) - before;
+        assertTrue(refused < 1100, refused + " refused in the seven seconds after: " + day);
+        assertTrue(day.share(-1) > 0.7, day.share(-1) + " " + day);
+    }
+
+    /** All the others are full: whatever a cold one is let have, all hundred would like to send it. */
+    @Test
+    void aHundredModulesBeforeOneColdWorkerStayUnderWhatItBears() {
+        VirtualDay day = fleet(5);
+        day.begin(100);
+        day.load(2100, 10 * S);
+        day.run(3 * S);
+        Box cold = day.box(400, "a", 0, 5, 0.9);
+        cold.born = day.now;
+        day.tell(cold, S);
+        day.run(8 * S);
+        assertEquals(List.of(), day.broken);
+        assertFalse(cold.fell, "" + day.mostOfBudget);
+        assertTrue(day.sends.getOrDefault(400L, 0) > 20, "and it is used: " + day.sends.get(400L));
+    }
+
+    @Test
+    void aZoneFallsSilentAndComesBackCold() {
+        VirtualDay day = fleet(2);
+        day.begin(100);
+        day.load(900, 16 * S);
+        day.run(4 * S);
+        List<Box> zone = day.boxes.values().stream().filter(b -> b.zone.equals("a")).toList();
+        zone.forEach(b -> b.silent = true);
+        day.run(5 * S);
+        zone.forEach(b -> {
+            b.silent = false;
+            b.born = day.now;
+            day.tell(b, S);
+        });
+        day.run(15 * S);
+        assertEquals(List.of(), day.broken);
+        zone.forEach(b -> assertFalse(b.fell));
+        assertTrue(day.mostOfBudget < 1, "" + day.mostOfBudget);
+        assertTrue(day.share(-1) > 0.6, day.share(-1) + " " + day);
+    }
+
+    @Test
+    void sixInTenAreReplacedWhileClientsReturnAtOnce() {
+        VirtualDay day = fleet(3);
+        day.clientTries = 3;
+        day.begin(100);
+        day.load(900, 14 * S);
+        day.run(3 * S);
+        for (int i = 0; i < 38; i++) {
+            int n = i;
+            day.after(i * 7 * S / 38, () -> {
+                Box old = day.boxes.get(100L + n);
+                old.state = State.DRAINING;
+                day.tell(old, 500 * MS);
+                Box b = day.box(300 + n, old.zone, old.cell, old.slots, old.speed);
+                b.born = day.now;
+                day.tell(b, 500 * MS);
+            });
+        }
+        day.run(18 * S);
+        assertEquals(List.of(), day.broken);
+        assertTrue(day.boxes.values().stream().noneMatch(b -> b.fell), "" + day.mostOfBudget);
+        assertTrue(day.share(-1) > 0.6, day.share(-1) + " " + day);
+    }
+
+    /** Reports half a second old: all who follow the same news would swing between none and twelve. */
+    @Test
+    void oldReportsDoNotMakeAHundredSwing() {
+        VirtualDay day = fleet(4);
+        day.begin(100);
+        day.load(1000, 12 * S);
+        day.run(4 * S);
+        double[] off = {0, 0};
+        double all = day.boxes.values().stream().mapToDouble(x -> x.slots * x.speed).sum();
+        for (int i = 0; i < 80; i++) {
+            day.run(100 * MS);
+            for (Box b : day.boxes.values()) {
+                double wanted = 1000 * 0.12 / all * b.slots;
+                off[0] += Math.pow(b.held() - wanted, 2);
+                off[1] += wanted; // of a draw by capacity: as of a Poisson count
+            }
+        }
+        assertTrue(off[0] < 2 * 2 * off[1], "spread " + Math.sqrt(off[0] / off[1]) + " of that of a draw");
+    }
+}
