Membership of a fleet as an I/O-free machine: SWIM and Lifeguard, in virtual time

Today a node knows no other; recovery, shedding as one and copies stand on who is there.

Change: fleet.membership (suspicion, incarnations, news that goes along, full exchange, join by seeds, leave, a name taken twice refused by name, lives told apart by epoch and life and by no clock, local health), and fleet.model, which runs many of them on one virtual clock with loss, cuts and stopped processes. It is in no node yet: no front, listener or key is new, and nothing of it is loaded by `serve`.

--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -66,6 +66,7 @@
         known.put("conformance", Conformance::new);
         known.put("load-gearman", LoadGearman::new);
         known.put("load-library", LoadLibrary::new);
+        known.put("fleet-model", FleetModel::new);
         known.put("version", Version::new);
         Map<String, Command> commands = new LinkedHashMap<>();
         known.forEach((name, make) -> {
--- a/src/test/java/beechseam/ArchitectureTest.java
+++ b/src/test/java/beechseam/ArchitectureTest.java
@@ -26,6 +26,11 @@
         .resideInAPackage("beechseam.gearman.queue").should().onlyDependOnClassesThat()
         .resideInAnyPackage("beechseam.gearman.queue", "java.lang..", "java.util..", "java.time..");
 
+    @ArchTest
+    static final ArchRule MEMBERSHIP_IS_FREE_OF_IO = classes().that()
+        .resideInAPackage("beechseam.fleet.membership").should().onlyDependOnClassesThat()
+        .resideInAnyPackage("beechseam.fleet.membership", "java.lang..", "java.util..");
+
     @ArchTest
     static final ArchRule THE_PROTOCOL_KNOWS_NO_SOCKET = classes().that()
         .resideInAPackage("beechseam.gearman.protocol").should().onlyDependOnClassesThat()
