A taken-back hop and a second site's settings have their tests

A job that has begun is not taken back. The settings are read with 250 ms, 12% and no copies, and a fault in them names its key.

--- a/src/test/java/beechseam/config/ConfigTest.java
+++ b/src/test/java/beechseam/config/ConfigTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import beechseam.Dispatching.Load;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -40,6 +41,29 @@
         assertNull(bare.console(), "no door unless one is asked for");
     }
 
+    /** A site with none of probes, copies and utilization, and figures of its own for the rules. */
+    @Test
+    void aSecondSitesSettingsAreReadAndAFaultInThemNamesItsKey() throws Exception {
+        String plain = "{\"Classes\":[{\"Name\":\"c\",\"AimNs\":5}],\"Limits\":{\"MaxAttempts\":3}}";
+        String second = GOOD.replace(plain, """
+            {"Classes":[{"Name":"book","AimNs":300000000,"DeadlineNs":12000000000,"Worth":8,
+              "Effect":"idempotency_key","Group":"zone","WindowNs":20000000000}],
+             "Limits":{"MaxAttempts":3,"Cancel":true,"Probes":false,"SecondCopies":false},
+             "Rules":{"DrainGraceNs":250000000,"StartCapacity":0.12,"ColdNs":23000000000},
+             "LoadInfo":{"How":"piggyback","Columns":["outstanding","throughput","backlog","x0"]},
+             "Specifics":{"ReportX0":"free slots","TellsStart":true},"CountedBy":"request"}""");
+        ModuleOptions options = NodeConfig.of(tree(second)).options();
+        assertEquals(250_000_000L, options.settings.rules().drainGraceNs());
+        assertEquals(0.12, options.settings.rules().startCapacity());
+        assertFalse(options.settings.limits().copies() || options.settings.limits().probes());
+        assertFalse(options.settings.worthByWork());
+        Load load = options.load(new double[] {5, 30, 2, 1}, 4);
+        assertEquals(new Load(5, 2, 1, Double.NaN, Double.NaN), load, "what it does not report is unknown");
+        String message = assertThrows(ConfigException.class, () -> NodeConfig.of(
+            tree(second.replace("\"AimNs\":300000000", "\"AimNs\":-1")))).getMessage();
+        assertTrue(message.startsWith("settings.Classes[0].AimNs: "), message);
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "settings | \"settings\" | \"set\"",
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -123,6 +123,46 @@
         }
     }
 
+    /** Two calls to two executors may overtake each other: the second is sent when the first is confirmed. */
+    @Test
+    void aWaitingJobGoesElsewhereOnceTheExecutorHasConfirmedThatItIsTakenBack() {
+        List<Peer> second = new ArrayList<>();
+        String other = row("SERVING").replace("s-0badcafe", "s-0000beef")
+            .replace(":" + executorAt.getPort(), ":" + net.standIn(second).getPort());
+        net.until("the list's request", () -> discovery.size() == 1
+            && discovery.get(0).heard().endsWith("\r\n\r\n"));
+        discovery.get(0).say(answer("200 OK", list(2, row("SERVING") + "," + other)));
+        net.until("both listed", () -> node.engine.routes().knows(0xbeefL));
+        Peer client = ask("c1", "safe", "30000m");
+        net.until("the hop", () -> executor.size() + second.size() == 1
+            && (executor.isEmpty() ? second : executor).get(0).heard().endsWith("body"));
+        List<Peer> first = executor.isEmpty() ? second : executor;
+        List<Peer> then = executor.isEmpty() ? executor : second;
+        first.get(0).take();
+        first.get(0).say(answer("202 Accepted", ""));
+        net.until("the hop taken back", () -> first.get(0).heard().startsWith("DELETE /jobs/c1 HTTP/1.1"));
+        net.settle(150);
+        assertTrue(then.isEmpty(), "nothing is sent before that is confirmed");
+        first.get(0).say(answer("204 No Content", ""));
+        net.until("the job elsewhere", () -> then.size() == 1 && then.get(0).heard().endsWith("body"));
+        then.get(0).say(answer("202 Accepted", ""));
+        String at = then == second ? "s-0000beef" : "s-0badcafe";
+        event("c1", "\"from\":\"" + at + "\",\"state\":\"done\",\"result\":\"there\"");
+        assertTrue(heard(client, "there").startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    void whatRunsIsNotTakenBack() {
+        Peer client = ask("c1", "safe", "30000m");
+        hop(0, "c1").say(answer("202 Accepted", ""));
+        event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
+        net.settle(200);
+        assertFalse(executor.get(0).heard().contains("DELETE"), "what runs stays where it is");
+        done("c1", "here");
+        heard(client, "here");
+        assertEquals(1, node.counters.sent);
+    }
+
     @Test
     void theDeadlineEndsASilentHopInTimeAndGivesItUp() {
         Peer client = ask("c1", "once", "400m");
