The module tells what starts say in one place and keeps no flag for moves

Need: reading the change again. believe() had its test of bounds at both callers, the grace of watchSilence stood in it three times in three forms, and Held.moved could be told from the last attempt's own mark.

Change: believe() takes the bounds; watchSilence has one test of silence; settle() asks the last attempt.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -202,7 +202,7 @@
         double workNs;
         final List<Attempt> attempts = new ArrayList<>(1);
         int out;
-        boolean answered, streaming, moved;
+        boolean answered, streaming;
 
         /** The first attempt that may have run or is still out. */
         Attempt firstMayHaveRun() {
@@ -310,11 +310,14 @@
         return m.own + mean + (m.others + herd - mean) * fade;
     }
 
-    /** What others hold, as of now and not as a report of some time ago would have it. */
-    private void believe(Member m, double others) {
-        m.others = others;
-        m.ownAtReport = m.own;
-        m.reportAt = now + (long) (reportGapNs / 2);
+    /** Others hold so much there: as of now, and not as a report of some time ago would have it. */
+    private void believe(Member m, double least, double most) {
+        double others = rawLoad(m) - m.own;
+        if (others < least || others > most) {
+            m.others = Math.max(least, Math.min(most, others));
+            m.ownAtReport = m.own;
+            m.reportAt = now + (long) (reportGapNs / 2);
+        }
     }
 
     /** Slots of a worker that its own running jobs leave to others. */
@@ -638,14 +641,14 @@
             return;
         }
         boolean again = h.firstMayHaveRun() != null;
-        boolean charged = again && !h.moved; // what was moved had not begun: it is no repeat
+        // Where copies are barred only a job that waited is taken back: it had not begun, and is no repeat.
+        boolean charged = again && (limits.copies() || !h.attempts.get(h.attempts.size() - 1).cancelled);
         if (again && h.of.effect() == Effect.UNSAFE || h.attempts.size() >= limits.maxAttempts() || expired(h)
             || charged && repeats < 1) {
             answer(h);
             return;
         }
         repeats -= charged ? 1 : 0;
-        h.moved = false;
         decide(h);
     }
 
@@ -707,9 +710,7 @@
         a.notedAt = now;
         // It begins: others hold what its own leave free, and what came behind it while it waited.
         double behind = othersMean * a.at.slots * Math.min(1, (now - a.sentAt) / meanRunNs);
-        if (rawLoad(a.at) - a.at.own > leftToOthers(a.at) + behind) {
-            believe(a.at, leftToOthers(a.at) + behind);
-        }
+        believe(a.at, 0, leftToOthers(a.at) + behind);
         if (a.free) {
             startLagNs += 0.05 * (Math.min(now - a.sentAt, minAimNs) - startLagNs);
         }
@@ -833,15 +834,13 @@
         double silent = now - a.notedAt;
         double due = settings.progressNs() > 0 ? settings.progressNs() : Double.MAX_VALUE;
         if (a.startedAt < 0) {
-            double least = leftToOthers(a.at);
-            if (silent > grace - tickNs && rawLoad(a.at) - a.at.own < least) {
-                believe(a.at, least);
+            if (silent > grace - tickNs) {
+                believe(a.at, leftToOthers(a.at), Double.MAX_VALUE);
             }
             due = (rawLoad(a.at) - a.at.own + 1) * meanRunNs * a.at.pi;
-            grace += due;
         }
-        if (silent > due + 2 * startLagNs + 2 * tickNs) {
-            doubt(a.at, 1 + (silent - due - (a.startedAt < 0 ? 0 : grace)) / grace);
+        if (silent > due + grace) {
+            doubt(a.at, a.startedAt < 0 ? 1 + (silent - due) / (due + grace) : (silent - due) / grace);
         }
     }
 
@@ -860,8 +859,7 @@
         boolean stuck = a.startedAt < 0 ? now - a.sentAt > h.of.aimNs() * 0.25 : !moves && doubt(a.at) > 2;
         Member m = a.over || a.cancelled || !stuck ? null : choose(h, candidates(h), true);
         if (m != null && moves) {
-            h.moved = true; // settle() sends it on once its end is told
-            a.cancelled = true;
+            a.cancelled = true; // settle() sends it on once its end is told
             actions.cancel(h.job.id(), a.number);
         } else if (m != null) {
             repeats--;
