--- a/src/main/java/beechseam/fleet/membership/Membership.java
+++ b/src/main/java/beechseam/fleet/membership/Membership.java
@@ -11,7 +11,6 @@
 import beechseam.fleet.membership.Message.Welcome;
 import beechseam.fleet.membership.Standing.State;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +20,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * One node's part in keeping the membership: SWIM with suspicion, incarnations and news that goes along, and
@@ -104,11 +104,12 @@
 
     private static final class Rumour implements Comparable<Rumour> {
         final Standing standing;
+        final long order;
         int told;
-        long order;
 
-        Rumour(Standing standing) {
+        Rumour(Standing standing, long order) {
             this.standing = standing;
+            this.order = order;
         }
 
         @Override
@@ -136,10 +137,12 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Entry> up = new ArrayList<>();
     private final List<Entry> round = new ArrayList<>();
-    private final java.util.TreeSet<Rumour> rumours = new java.util.TreeSet<>();
+    private final TreeSet<Rumour> rumours = new TreeSet<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
     private final Map<Long, Question> questions = new HashMap<>();
     private final Set<String> checking = new HashSet<>();
+    /** Of this node itself: what is being told of it. */
+    private final Entry ownEntry = new Entry();
     private Standing own;
     private Phase phase = Phase.JOINING;
     private long now, order, sequence, view, since;
@@ -218,7 +221,7 @@
         } else if (message instanceof Refusal r && phase == Phase.JOINING) {
             refuse(r.why());
         } else if (message instanceof Exchange e && !e.reply() && phase != Phase.JOINING) {
-            host.send(name, address, new Exchange(true, everything()));
+            host.send(name, address, new Exchange(true, all()));
         }
     }
 
@@ -230,7 +233,11 @@
             return;
         }
         phase = Phase.LEAVING;
-        set(own.as(State.LEFT, ""), "leaves");
+        Standing before = own;
+        own = own.as(State.LEFT, "");
+        view++;
+        host.changed(before, own, "leaves");
+        spread(ownEntry, own);
         for (int i = 0; i < GOSSIP_TURNS; i++) {
             after(i * options.probeNs() / GOSSIP_TURNS, () -> tellSome(GOSSIP_TO));
         }
@@ -248,7 +255,7 @@
     }
 
     /** All that are remembered, itself included, those that have died or left too. */
-    public Collection<Standing> all() {
+    public List<Standing> all() {
         List<Standing> all = new ArrayList<>(entries.size() + 1);
         all.add(own);
         entries.values().forEach(each -> all.add(each.standing));
@@ -321,7 +328,7 @@
         phase = Phase.MEMBER;
         view++;
         host.changed(null, own, why);
-        spread(own);
+        spread(ownEntry, own);
         after((long) (random.nextDouble() * options.probeNs()), this::probeNext);
         after(jittered(exchangeSpan()), this::exchange);
     }
@@ -332,17 +339,20 @@
         boolean free = holder == null || !holder.up() || holder.life() == joiner.life()
             || holder.address().equals(joiner.address()) && holder != own;
         if (free) {
-            host.send(joiner.name(), joiner.address(), new Welcome(everything()));
+            answer(joiner, new Welcome(all()));
         } else if (holder == own) {
-            host.send(joiner.name(), joiner.address(), new Refusal(taken(own), List.of()));
+            answer(joiner, new Refusal(taken(own), List.of()));
         } else if (checking.add(joiner.name() + joiner.life())) {
-            check(holder, () -> host.send(joiner.name(), joiner.address(), new Refusal(taken(holder),
-                List.of())),
-                () -> host.send(joiner.name(), joiner.address(), new Welcome(everything())),
+            check(holder, () -> answer(joiner, new Refusal(taken(holder), List.of())),
+                () -> answer(joiner, new Welcome(all())),
                 () -> checking.remove(joiner.name() + joiner.life()));
         }
     }
 
+    private void answer(Standing joiner, Message message) {
+        host.send(joiner.name(), joiner.address(), message);
+    }
+
     private static String taken(Standing holder) {
         return "the name " + holder.name() + " is taken: the process at " + holder.address()
             + " answers to it";
@@ -438,7 +448,7 @@
             // Helpers that said nothing at all point to this node; with none to ask it cannot tell.
             feel(asked[0] > 0 ? asked[0] - q.nacks : 1);
             if (target.standing == s || target.standing.sameLife(s)) {
-                suspect(target, own.name());
+                suspect(target);
             }
         });
     }
@@ -541,36 +551,28 @@
             }
             return;
         }
-        if (s.state() == State.SUSPECT && s.sameLife(held)) {
-            hearSuspect(e, s);
-        } else if (s.state() == State.DEAD && whole && held.up() && s.sameLife(held)) {
+        if (s.state() == State.DEAD && whole && held.up() && s.sameLife(held)) {
             // The other half's word from before: it may live on this side, so it gets the time to say so.
-            hearSuspect(e, s.as(State.SUSPECT, s.accuser()));
-        } else {
-            if (held.state() == State.SUSPECT && s.state() == State.ALIVE) {
-                figures.contradicted++;
+            Standing doubted = s.as(State.SUSPECT, s.accuser());
+            if (doubted.supersedes(held)) {
+                put(e, doubted, why(held, doubted));
             }
-            put(e, s, why(held, s));
+            return;
         }
+        figures.contradicted += held.state() == State.SUSPECT && s.state() == State.ALIVE ? 1 : 0;
+        put(e, s, why(held, s));
     }
 
     private static String why(Standing held, Standing s) {
         return switch (s.state()) {
-            case ALIVE -> s.sameLife(held) ? held.state() == State.SUSPECT
-                ? "contradicts" : "is back" : "restarted";
+            case ALIVE -> !s.sameLife(held) ? "restarted" : held.state() == State.SUSPECT ? "contradicts"
+                : "is back";
             case SUSPECT -> "suspected by " + s.accuser();
             case DEAD -> "declared dead, accused by " + s.accuser();
             case LEFT -> "has left";
         };
     }
 
-    private void hearSuspect(Entry e, Standing s) {
-        if (!s.supersedes(e.standing)) {
-            return;
-        }
-        put(e, s, why(e.standing, s));
-    }
-
     private void hearOfSelf(Standing s) {
         if (s.life() == own.life()) {
             if (phase == Phase.MEMBER && s.epoch() == own.epoch() && s.state() != State.ALIVE
@@ -578,7 +580,7 @@
                 figures.refutations++;
                 feel(1); // whoever is accused has been slow itself
                 own = own.reclaimed(s.incarnation() + 1);
-                spread(own);
+                spread(ownEntry, own);
             }
             return;
         }
@@ -591,11 +593,11 @@
         }
         if (!s.up() || s.address().equals(own.address())) {
             own = inEpoch(s.epoch() + 1);
-            spread(own);
+            spread(ownEntry, own);
         } else if (checking.add("self" + s.life())) {
             check(s, () -> refuse(taken(s)), () -> {
                 own = inEpoch(s.epoch() + 1);
-                spread(own);
+                spread(ownEntry, own);
             }, () -> checking.remove("self" + s.life()));
         }
     }
@@ -605,8 +607,9 @@
     }
 
     /** This node itself has had no answer. */
-    private void suspect(Entry e, String accuser) {
+    private void suspect(Entry e) {
         Standing s = e.standing;
+        String accuser = own.name();
         if (s.state() == State.ALIVE) {
             figures.suspected++;
             put(e, s.as(State.SUSPECT, accuser), "suspected by " + accuser);
@@ -615,14 +618,6 @@
         }
     }
 
-    private void set(Standing s, String why) {
-        Standing before = own;
-        own = s;
-        view++;
-        host.changed(before, s, why);
-        spread(s);
-    }
-
     private void put(Entry e, Standing s, String why) {
         Standing before = e.standing;
         e.standing = s;
@@ -635,12 +630,11 @@
         if (s.state() == State.SUSPECT) {
             beginSuspicion(e);
         }
-        boolean news = before != null || s.up();
         if (before == null || before.state() != s.state() || !before.sameLife(s)) {
             view++;
             host.changed(before, s, why);
         }
-        if (news) { // the dead of before its time are remembered, but no news
+        if (before != null || s.up()) { // the dead of before its time are remembered, but no news
             spread(e, s);
         }
     }
@@ -668,8 +662,8 @@
         Suspicion s = new Suspicion();
         s.accusers.add(e.standing.accuser());
         s.from = now;
-        s.least = (long) (options.patience() * Math.max(1, Math.log10(Math.max(1,
-            size()))) * options.probeNs());
+        double spans = options.patience() * Math.max(1, Math.log10(Math.max(1, size())));
+        s.least = (long) (spans * options.probeNs());
         s.enough = options.health() ? Math.min(options.helpers(), Math.max(0, up.size() - 1)) : 0;
         s.most = s.enough == 0 ? s.least : (long) (s.least * options.doubtful());
         e.suspicion = s;
@@ -696,26 +690,13 @@
 
     // ---- Telling
 
-    private void spread(Standing s) {
-        for (Rumour each : List.copyOf(rumours)) {
-            if (each.standing.name().equals(s.name())) {
-                rumours.remove(each);
-            }
-        }
-        add(new Rumour(s));
-    }
-
+    /** Takes the place of what was being told of the same name. */
     private void spread(Entry e, Standing s) {
         if (e.rumour != null) {
             rumours.remove(e.rumour);
         }
-        e.rumour = new Rumour(s);
-        add(e.rumour);
-    }
-
-    private void add(Rumour r) {
-        r.order = ++order;
-        rumours.add(r);
+        e.rumour = new Rumour(s, ++order);
+        rumours.add(e.rumour);
         if (!gossiping && phase == Phase.MEMBER) {
             gossiping = true;
             after((long) (random.nextDouble() * options.probeNs() / GOSSIP_TURNS), this::gossip);
@@ -763,10 +744,6 @@
         return news;
     }
 
-    private List<Standing> everything() {
-        return List.copyOf(all());
-    }
-
     private long exchangeSpan() {
         double n = size() / SMALL;
         return (long) (options.exchangeNs() * Math.max(1, 1 + Math.log(n) / Math.log(2)));
@@ -781,7 +758,7 @@
             return;
         }
         for (Entry e : some(1, null)) {
-            host.send(e.standing.name(), e.standing.address(), new Exchange(false, everything()));
+            host.send(e.standing.name(), e.standing.address(), new Exchange(false, all()));
         }
         List<Standing> lost = new ArrayList<>();
         entries.values().removeIf(e -> !e.standing.up() && now - e.since > options.forgetNs());
@@ -800,7 +777,7 @@
         }
         if (!lost.isEmpty()) {
             Standing one = lost.get(random.nextInt(lost.size()));
-            host.send(one.name(), one.address(), new Exchange(false, everything()));
+            host.send(one.name(), one.address(), new Exchange(false, all()));
         }
         after(jittered(lost.isEmpty() ? exchangeSpan() : Math.min(exchangeSpan(), options.exchangeNs())),
             this::exchange);
@@ -812,8 +789,8 @@
         return (long) (span * (0.75 + random.nextDouble() / 2));
     }
 
-    private Due after(long span, Runnable what) {
-        return until(now + span, what);
+    private void after(long span, Runnable what) {
+        until(now + span, what);
     }
 
     private Due until(long at, Runnable what) {
--- a/src/main/java/beechseam/fleet/model/VirtualFleet.java
+++ b/src/main/java/beechseam/fleet/model/VirtualFleet.java
@@ -1,16 +1,18 @@
 package beechseam.fleet.model;
 
+import beechseam.core.Timer;
 import beechseam.fleet.membership.Membership;
 import beechseam.fleet.membership.Message;
 import beechseam.fleet.membership.Options;
 import beechseam.fleet.membership.Standing;
 import beechseam.fleet.membership.Standing.State;
+import beechseam.net.TimerQueue;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 
 /**
  * Many {@link Membership}s on one virtual clock, and a network that delays, loses and cuts. A process that
@@ -28,11 +30,30 @@
         boolean passes(int from, int to);
     }
 
-    private record Event(long at, long order, int node, int life,
-        Runnable what) implements Comparable<Event> {
+    /** Something that happens to the process at a place (-1: to none), of that life (-1: of any). */
+    private final class Event extends Timer {
+        private final int node;
+        private final int life;
+        private final Runnable what;
+
+        Event(int node, int life, Runnable what) {
+            this.node = node;
+            this.life = life;
+            this.what = what;
+        }
+
         @Override
-        public int compareTo(Event other) {
-            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        protected void fire() {
+            now = Math.max(now, due());
+            Node n = node < 0 ? null : nodes.get(node);
+            if (node >= 0 && (n == null || life >= 0 && n.life != life)) {
+                return; // of a process that is gone
+            }
+            if (n != null && n.still) {
+                n.asleep.add(what);
+            } else {
+                what.run();
+            }
         }
     }
 
@@ -58,11 +79,9 @@
         @Override
         public void send(String name, String address, Message message) {
             int to = Integer.parseInt(address.substring(1));
-            int weight = message.weight();
-            bytes += weight;
+            bytes += message.weight();
             messages++;
             if (loss > 0 && random.nextDouble() < loss || !network.passes(index, to)) {
-                lost++;
                 return;
             }
             long way = leastDelay + (long) (-Math.log(1 - random.nextDouble()) * meanDelay);
@@ -110,14 +129,12 @@
     public long meanDelay = 300_000;
     public long bytes;
     public long messages;
-    public long lost;
     public final Map<Integer, String> refusals = new HashMap<>();
     private final Options options;
     private final Random random;
     private final Map<Integer, Node> nodes = new HashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final TimerQueue events = new TimerQueue();
     private long now;
-    private long order;
     private int lives;
 
     public VirtualFleet(Options options, long seed) {
@@ -178,55 +195,34 @@
         nodes.get(index).wake();
     }
 
-    public Iterable<Integer> running() {
-        return List.copyOf(nodes.keySet());
-    }
-
     /** Does it when so much time has passed. */
     public void after(long span, Runnable what) {
         push(now + span, -1, -1, what);
     }
 
     private void push(long at, int node, int life, Runnable what) {
-        events.add(new Event(at, ++order, node, life, what));
+        events.set(new Event(node, life, what), at);
     }
 
     /** Lets so much time pass. */
     public void run(long span) {
-        long end = now + span;
-        while (!events.isEmpty() && events.peek().at <= end) {
-            step();
-        }
-        now = end;
+        runUntil(span, () -> false);
     }
 
     /** Lets time pass until it holds; false where it does not within the span. Asked after each event. */
-    public boolean runUntil(long span, java.util.function.BooleanSupplier holds) {
+    public boolean runUntil(long span, BooleanSupplier holds) {
         long end = now + span;
         while (!holds.getAsBoolean()) {
-            if (events.isEmpty() || events.peek().at > end) {
+            Timer next = events.due(end);
+            if (next == null) {
                 now = end;
                 return false;
             }
-            step();
+            next.run();
         }
         return true;
     }
 
-    private void step() {
-        Event e = events.poll();
-        now = Math.max(now, e.at);
-        Node n = e.node < 0 ? null : nodes.get(e.node);
-        if (e.node >= 0 && (n == null || e.life >= 0 && n.life != e.life)) {
-            return; // of a process that is gone
-        }
-        if (n != null && n.still) {
-            n.asleep.add(e.what);
-        } else {
-            e.what.run();
-        }
-    }
-
     /** Whether all that run hold the same for up, and as many as run. */
     public boolean agreed() {
         long digest = 0;
--- a/src/test/java/beechseam/HardDaysTest.java
+++ b/src/test/java/beechseam/HardDaysTest.java
@@ -8,6 +8,9 @@
 import beechseam.VirtualDay.Box;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,25 +47,31 @@
         assertEquals(0, day.owed, "each has its answer");
     }
 
-    @ParameterizedTest
-    @ValueSource(longs = {1, 2})
-    void aWorkerFastInFailingDoesNotLookIdle(long seed) {
-        VirtualDay day = calendar(seed, true);
+    /** Ten quiet seconds, a trouble at some workers, the rest of the day; gives what was sent meanwhile. */
+    private static Map<Long, Integer> troubled(VirtualDay day, double perSecond, long forNs,
+                                               Predicate<Box> who, Consumer<Box> begins,
+                                               Consumer<Box> ends) {
         day.begin(5);
-        day.load(30, 40 * S);
+        day.load(perSecond, 40 * S);
         day.run(10 * S);
         day.sends.clear();
-        Box[] bad = {day.boxes.get(100L), day.boxes.get(106L)};
-        for (Box b : bad) {
-            b.fails = 1;
-        }
-        day.run(15 * S);
-        int all = day.sends.values().stream().mapToInt(Integer::intValue).sum();
-        int toBad = day.sends.getOrDefault(100L, 0) + day.sends.getOrDefault(106L, 0);
-        for (Box b : bad) {
-            b.fails = 0;
-        }
+        List<Box> struck = day.boxes.values().stream().filter(who).toList();
+        struck.forEach(begins);
+        day.run(forNs);
+        Map<Long, Integer> sent = Map.copyOf(day.sends);
+        struck.forEach(ends);
         end(day);
+        return sent;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aWorkerFastInFailingDoesNotLookIdle(long seed) {
+        VirtualDay day = calendar(seed, true);
+        Map<Long, Integer> sent = troubled(day, 30, 15 * S, b -> b.id == 100 || b.id == 106, b -> b.fails = 1,
+            b -> b.fails = 0);
+        int all = sent.values().stream().mapToInt(Integer::intValue).sum();
+        int toBad = sent.getOrDefault(100L, 0) + sent.getOrDefault(106L, 0);
         assertTrue(toBad < all * 2 / 15, toBad + " of " + all + " went to two of 15 that fail all at once");
         assertTrue(day.share(-1) > 0.9, day.share(-1) + " " + day);
     }
@@ -71,17 +80,7 @@
     @ValueSource(longs = {1, 2})
     void aQuarterNineTimesSlower(long seed) {
         VirtualDay day = calendar(seed, true);
-        day.begin(5);
-        day.load(26, 40 * S);
-        day.run(10 * S);
-        for (long id = 100; id < 104; id++) {
-            day.boxes.get(id).slow = 9;
-        }
-        day.run(15 * S);
-        for (long id = 100; id < 104; id++) {
-            day.boxes.get(id).slow = 1;
-        }
-        end(day);
+        troubled(day, 26, 15 * S, b -> b.id < 104, b -> b.slow = 9, b -> b.slow = 1);
         assertTrue(day.share(-1) > 0.955, day.share(-1) + " " + day);
     }
 
@@ -89,13 +88,7 @@
     @ValueSource(longs = {1, 2})
     void aHallIsCutOffWithKeyedJobsInIt(long seed) {
         VirtualDay day = calendar(seed, true);
-        day.begin(5);
-        day.load(40, 40 * S);
-        day.run(10 * S);
-        day.boxes.values().stream().filter(b -> b.zone.equals("b")).forEach(b -> b.silent = true);
-        day.run(17 * S);
-        day.boxes.values().stream().filter(b -> b.zone.equals("b")).forEach(b -> b.silent = false);
-        end(day);
+        troubled(day, 40, 17 * S, b -> b.zone.equals("b"), b -> b.silent = true, b -> b.silent = false);
         assertTrue(day.share(-1) > 0.945, day.share(-1) + " " + day);
     }
 
@@ -220,8 +213,7 @@
             day.after(200 * MS, () -> n.engine.routes(ListForm.FULL, day.list()));
         }
         gone.toldDraining = day.now + 200 * MS;
-        day.run(7 * S);
-        day.run(8 * S);
+        day.run(15 * S);
         assertEquals(List.of(), day.broken);
         int refused = VirtualDay.sum(day.refused) - before;
         assertTrue(refused < 1100, refused + " refused in the seven seconds after: " + day);
--- a/src/test/java/beechseam/VirtualDay.java
+++ b/src/test/java/beechseam/VirtualDay.java
@@ -9,15 +9,17 @@
 import beechseam.core.Request;
 import beechseam.core.Timer;
 import beechseam.core.Timers;
+import beechseam.net.TimerQueue;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -38,7 +40,7 @@
         final ArrayDeque<Job> queue = new ArrayDeque<>();
         final List<Job> running = new ArrayList<>();
         final ArrayDeque<double[]> taken = new ArrayDeque<>();
-        double speed;
+        final double speed;
         double slow = 1;
         double fails;
         boolean silent;
@@ -46,7 +48,7 @@
         long born;
         long toldDraining = Long.MAX_VALUE;
         State state = State.READY;
-        Load shown = new Load(0, 0, Double.NaN, Double.NaN, Double.NaN);
+        Load shown;
 
         Box(long id, String zone, int cell, int slots, double speed) {
             this.id = id;
@@ -154,7 +156,7 @@
 
     /** One node, on its clients' side and its workers'. */
     final class Node implements Egress, Timers {
-        final Map<Timer, Object> armed = new HashMap<>();
+        private final Set<Timer> armed = new HashSet<>();
         final int number;
         Engine engine;
 
@@ -177,29 +179,22 @@
 
         /** The process ends and another begins: nothing of the first is known, and its clients leave. */
         void restart() {
-            List.copyOf(armed.keySet()).forEach(this::cancel);
+            armed.forEach(timers::cancel);
+            armed.clear();
             owed -= engine.counters().current();
             start();
         }
 
         @Override
         public void set(Timer timer, long at) {
-            cancel(timer);
-            Object mark = new Object();
-            armed.put(timer, mark);
-            timer.arm(at, 0);
-            push(at, () -> {
-                if (armed.remove(timer, mark)) {
-                    timer.disarm();
-                    timer.run();
-                }
-            });
+            armed.add(timer);
+            timers.set(timer, Math.max(at, now));
         }
 
         @Override
         public void cancel(Timer timer) {
             armed.remove(timer);
-            timer.disarm();
+            timers.cancel(timer);
         }
 
         @Override
@@ -302,13 +297,6 @@
         }
     }
 
-    private record Event(long at, long order, Runnable what) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
-        }
-    }
-
     final Settings settings;
     final Map<Long, Box> boxes = new LinkedHashMap<>();
     final List<Node> nodes = new ArrayList<>();
@@ -332,10 +320,9 @@
     long reportMs = 500;
     long now = 1_000_000 * S;
     double mostOfBudget;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private long order;
-    private long jobs;
     int owed;
+    private final TimerQueue timers = new TimerQueue();
+    private long jobs;
 
     VirtualDay(Settings settings, long seed) {
         this.settings = settings;
@@ -346,12 +333,13 @@
         of.merge(jobClass, 1, Integer::sum);
     }
 
-    private void push(long at, Runnable what) {
-        events.add(new Event(Math.max(at, now), ++order, what));
-    }
-
     void after(long span, Runnable what) {
-        push(now + span, what);
+        timers.set(new Timer() {
+            @Override
+            protected void fire() {
+                what.run();
+            }
+        }, now + span);
     }
 
     Box box(long id, String zone, int cell, int slots, double speed) {
@@ -380,19 +368,16 @@
     /** Each node is told of a change, each at a time of its own. */
     void tell(Box b, long withinNs) {
         Worker row = row(b);
-        long first = Long.MAX_VALUE;
         for (Node n : nodes) {
-            long at = (long) (random.nextDouble() * withinNs);
-            first = Math.min(first, at);
-            after(at, () -> n.engine.routes(ListForm.CHANGES, List.of(row)));
+            after((long) (random.nextDouble() * withinNs),
+                () -> n.engine.routes(ListForm.CHANGES, List.of(row)));
         }
         b.toldDraining = b.state == State.READY ? Long.MAX_VALUE : now + withinNs;
     }
 
     private void report() {
         for (Box b : boxes.values()) {
-            double running = b.used();
-            double free = Math.max(0, b.slots - running);
+            double free = Math.max(0, b.slots - b.used());
             Load l = reporting ? new Load(b.held(), b.queue.size(), free, Double.NaN, Double.NaN) : null;
             after(reportMs * MS / 2, () -> b.shown = l);
         }
@@ -454,10 +439,9 @@
 
     void run(long span) {
         long end = now + span;
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event e = events.poll();
-            now = e.at;
-            e.what.run();
+        for (Timer t = timers.due(end); t != null; t = timers.due(end)) {
+            now = t.due();
+            t.run();
         }
         now = end;
     }
