Discovery is asked without a gap, and a node is ready once it has been told

At fault: PlatformNode.status, which took any list for a list.

By reading: Discovery waited 4 s, 1 s of silence and a pause grown to 1 s before a call was made again, over the 6 s of the term in sum, and no call was out in the pauses though news at discovery's return counts at once; 64 accepts in a turn and discovery's calls could pass the spare descriptors.

Change: ListWatch decides calls and times, free of I/O, from the 6 s and the drain grace; health says ready once discovery has answered, or a second has passed. 32 accepts a turn, and discovery's calls have their own descriptors.

--- a/src/main/java/beechseam/net/Listener.java
+++ b/src/main/java/beechseam/net/Listener.java
@@ -17,8 +17,11 @@
 public final class Listener implements EventLoop.Ready {
     private static final Logger LOG = System.getLogger(Listener.class.getName());
     private static final int BACKLOG = 512;
-    /** As many are accepted before others get their turn: a crowd of new ones must not wait in the kernel. */
-    private static final int AT_ONCE = 64;
+    /**
+     * As many are accepted before others get their turn: a crowd of new ones must not wait in the kernel.
+     * Each may make room by closing another, whose descriptor the runtime keeps until the turn's end.
+     */
+    public static final int AT_ONCE = 32;
 
     /** Makes a connection object of an accepted channel. */
     public interface Taker {
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -6,7 +6,6 @@
 import beechseam.config.Json;
 import beechseam.config.MemberList;
 import beechseam.core.Engine;
-import beechseam.core.Timer;
 import beechseam.http.HttpException;
 import beechseam.http.HttpParser;
 import beechseam.http.HttpWriter;
@@ -24,51 +23,32 @@
 import java.util.Set;
 
 /**
- * Keeps the route table up to date: the whole list once, then one watch after the other without a gap. While
- * discovery is silent the node serves by what it holds, and asks again. The address may change meanwhile.
+ * Keeps the route table up to date from discovery's lists. While discovery is silent the node serves by what
+ * it holds. The address may change meanwhile. When to ask what is {@link ListWatch}'s to decide.
  */
-final class Discovery {
+final class Discovery implements ListWatch.Wire {
     private static final Logger LOG = System.getLogger(Discovery.class.getName());
-    /** Short, so that a call lost without a word is made again before its news counts as told. */
-    private static final long WAIT_MS = 4_000;
-    private static final long SILENCE_NS = 1_000_000_000L;
-    private static final long RETRY_NS = 100_000_000L;
-    private static final long MOST_RETRY_NS = 1_000_000_000L;
+    /** A call that may not wait says so: news is there, or there is none. */
+    private static final long LEAST_WAIT_MS = 1;
 
     private final EventLoop loop;
     private final Engine engine;
     private final EgressPool pool;
     private final Maintenance maintenance;
-    private final Timer silence = new Timer() {
-        @Override
-        protected void fire() {
-            askAgain("silent");
-        }
-    };
-    private final Timer retry = new Timer() {
-        @Override
-        protected void fire() {
-            ask();
-        }
-    };
+    private final ListWatch watch;
     private InetSocketAddress address;
     private String host;
-    private Line line;
-    private boolean held;
-    /** The whole list has come from this address: only then do its versions and ours mean the same. */
-    private boolean whole;
-    private boolean stopped;
-    private long version;
-    private long retryNs = RETRY_NS;
 
+    /** {@code drainGraceNs}: see {@link ListWatch}. */
     Discovery(EventLoop loop, InetSocketAddress address, String host, Engine engine, EgressPool pool,
-              Maintenance maintenance) {
+              Maintenance maintenance, long drainGraceNs) {
         this.maintenance = maintenance;
         this.loop = loop;
         this.address = address;
         this.host = host;
         this.engine = engine;
         this.pool = pool;
+        watch = new ListWatch(loop::now, loop.timers, drainGraceNs, this);
     }
 
     /** The list as held before the start: it may be old, so the whole list is asked for all the same. */
@@ -76,12 +56,17 @@
         if (!known.servers().isEmpty()) {
             apply(known, ListForm.CACHED);
         }
-        ask();
+        watch.start(known);
     }
 
     /** Whether discovery has answered since the start. */
     boolean held() {
-        return held;
+        return watch.held();
+    }
+
+    /** Whether discovery has answered since the start, or has had the time in which it would. */
+    boolean settled() {
+        return watch.settled();
     }
 
     /**
@@ -89,84 +74,49 @@
      * there: another address may count its versions otherwise, and what its list lacks must go.
      */
     void move(InetSocketAddress to, String toHost) {
-        if (stopped || to.equals(address)) {
+        if (to.equals(address)) {
             return;
         }
         LOG.log(Level.INFO, "discovery: moves from " + host + " to " + toHost);
-        hangUp();
         address = to;
         host = toHost;
-        whole = false;
-        retryNs = RETRY_NS;
-        ask();
+        watch.moved();
     }
 
     void stop() {
-        stopped = true;
-        hangUp();
+        watch.stop();
     }
 
-    private void hangUp() {
-        loop.timers.cancel(silence);
-        loop.timers.cancel(retry);
-        if (line != null) {
-            line.close();
-            line = null;
+    @Override
+    public void ask(ListWatch.Call call, ListWatch.Call before) {
+        Line open = before == null ? null : (Line) before.line;
+        try {
+            Line line = open != null && !open.closed() ? open : new Line();
+            call.line = line;
+            line.ask(call);
+        } catch (IOException e) { // out of descriptors
+            watch.failed(call, e.getMessage());
         }
     }
 
-    private void ask() {
-        if (stopped) {
-            return;
-        }
-        try {
-            if (line == null || line.closed()) {
-                line = new Line();
-                line.ask();
-                line.open();
-            } else {
-                line.ask();
-            }
-        } catch (IOException e) {
-            askAgain(e.getMessage());
+    @Override
+    public void hangUp(ListWatch.Call call) {
+        if (call.line instanceof Line line) {
+            line.close();
         }
     }
 
-    private void askAgain(String why) {
-        if (stopped) {
-            return;
-        }
-        LOG.log(Level.INFO, "discovery: " + why + "; asking again");
-        hangUp();
-        loop.timers.set(retry, loop.now() + retryNs);
-        retryNs = Math.min(MOST_RETRY_NS, 2 * retryNs);
+    @Override
+    public void failed(String why, boolean first) {
+        LOG.log(first ? Level.INFO : Level.DEBUG, "discovery: " + why + "; asking again");
     }
 
-    private void answered(HttpParser answer) {
-        loop.timers.cancel(silence);
-        if (answer.status() != 200) {
-            askAgain("status " + answer.status());
-            return;
-        }
-        try {
-            Object tree = Json.parse(answer.body().bytes(), answer.body().from(), answer.body().length());
-            if (!(tree instanceof Map<?, ?> map)) {
-                throw new IOException("not an object");
-            }
-            MemberList list = MemberList.of(map, why -> LOG.log(Level.WARNING, "discovery: " + why));
-            apply(list, list.full() ? ListForm.FULL : ListForm.CHANGES);
-        } catch (IOException e) {
-            askAgain("an answer that is no list: " + e.getMessage());
-            return;
-        }
-        held = true;
-        whole = true;
-        retryNs = RETRY_NS;
-        ask();
+    @Override
+    public void take(MemberList list, ListForm form) {
+        apply(list, form);
     }
 
     private void apply(MemberList list, ListForm form) {
-        version = list.version();
         List<Worker> lines = new ArrayList<>();
         Set<Long> named = new HashSet<>();
         for (MemberList.Server s : list.servers()) {
@@ -191,45 +141,80 @@
         }
     }
 
+    /** A connection to discovery, with one call out or none. */
     private final class Line extends Connection {
         private final HttpParser parser = new HttpParser(false);
+        private ListWatch.Call call;
 
         Line() throws IOException {
             super(Discovery.this.loop, null, HttpParser.MAX_MESSAGE);
         }
 
-        void open() {
-            connect(address);
-        }
-
-        void ask() {
-            String target = whole ? "/catalog/members?after=" + version + "&wait_ms=" + WAIT_MS
-                : "/catalog/members";
-            loop.timers.set(silence, loop.now() + SILENCE_NS + (whole ? WAIT_MS * 1_000_000L : 0));
+        void ask(ListWatch.Call next) {
+            call = next;
+            long waitMs = Math.max(LEAST_WAIT_MS, next.waitNs / 1_000_000L);
+            String target = next.after < 0 ? "/catalog/members"
+                : "/catalog/members?after=" + next.after + "&wait_ms=" + waitMs;
             write(HttpWriter.request("GET", target, host, "", Wire.NOTHING));
+            if (connecting()) {
+                connect(address);
+            }
         }
 
         @Override
         protected void received(ByteBuffer in) {
             try {
-                while (in.hasRemaining() && !closed() && parser.parse(in)) {
-                    if (parser.status() >= 200) {
-                        if (!parser.keepAlive()) {
-                            close();
-                        }
-                        answered(parser);
+                while (in.hasRemaining() && !closed()) {
+                    if (call == null) { // an answer to nothing: its frame is lost
+                        close();
+                    } else if (!parser.parse(in)) {
+                        return;
+                    } else if (parser.status() >= 200) {
+                        answered(in.hasRemaining());
                     }
                 }
             } catch (HttpException e) {
-                askAgain(e.getMessage());
+                broken(e.getMessage());
+            }
+        }
+
+        /** A list that cannot be used changes nothing, and counts as a failed call. */
+        private void answered(boolean more) {
+            if (!parser.keepAlive() || parser.untilClose() || more) {
+                close();
+            }
+            if (parser.status() != 200) {
+                broken("status " + parser.status());
+                return;
+            }
+            MemberList list;
+            try {
+                Object tree = Json.parse(parser.body().bytes(), parser.body().from(), parser.body().length());
+                if (!(tree instanceof Map<?, ?> map)) {
+                    throw new IOException("not an object");
+                }
+                list = MemberList.of(map, why -> LOG.log(Level.WARNING, "discovery: " + why));
+            } catch (IOException e) {
+                broken("an answer that is no list: " + e.getMessage());
+                return;
+            }
+            ListWatch.Call done = call;
+            call = null;
+            watch.answered(done, list);
+        }
+
+        private void broken(String why) {
+            ListWatch.Call failed = call;
+            call = null;
+            close();
+            if (failed != null) {
+                watch.failed(failed, why);
             }
         }
 
         @Override
         protected void lost(IOException why) {
-            if (line == this) {
-                askAgain(why.getMessage());
-            }
+            broken(why.getMessage());
         }
     }
 }
--- /dev/null
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -0,0 +1,205 @@
+package beechseam.platform;
+
+import beechseam.Dispatching.ListForm;
+import beechseam.config.MemberList;
+import beechseam.core.Timer;
+import beechseam.core.Timers;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/**
+ * Which calls discovery gets, and when; it knows no wire. The whole list once, then one watch after the other
+ * without a gap.
+ *
+ * <p>A change counts as told {@link #TOLD_NS} after discovery had it and could be reached, whatever has
+ * failed, and at once where discovery comes back from a silence. All times here are made of these two. A
+ * watch waits for a third of the term, so a silent one is noticed with most of it left. From the first doubt
+ * on a call is made every half drain grace, none of which may wait, each on a connection of its own and
+ * beside those not answered yet (a hedged request): the first answer ends them all. No pause grows: the
+ * address is an agent's on this machine, which answers at no cost, and a longer pause could outlast its
+ * silence.
+ */
+final class ListWatch {
+    /** The platform's term: news counts as told so long after discovery had it and could be reached. */
+    static final long TOLD_NS = 6_000_000_000L;
+    static final long WAIT_NS = TOLD_NS / 3;
+    /** An answer that is due may be late by so much, and still be the first. */
+    static final long ANSWER_NS = TOLD_NS / 6;
+    /** No deployment's grace makes the calls denser than this, and none makes them rarer. */
+    static final long LEAST_PAUSE_NS = 50_000_000L;
+    static final long MOST_PAUSE_NS = TOLD_NS / 24;
+    /** Calls out at a time; each may hold a descriptor. */
+    static final int MOST_OUT = 8;
+
+    /** What carries the calls. */
+    interface Wire {
+        /**
+         * Makes the call; {@code before} was answered in this turn and leaves its connection, or is null.
+         * Owes {@link #answered} or {@link #failed} once, at once or later, unless it is hung up.
+         */
+        void ask(Call call, Call before);
+
+        /** The call's answer is not wanted any more. */
+        void hangUp(Call call);
+
+        /** A list, or what has changed in it. */
+        void take(MemberList list, ListForm form);
+
+        /** For the log: the first of a row of failures, or a further one. */
+        void failed(String why, boolean first);
+    }
+
+    /** A call that is out. {@code after} is the version it asks from, or -1 for the whole list. */
+    static final class Call {
+        final long after;
+        final long waitNs;
+        private final long askedAt;
+        /** What the wire keeps of it. */
+        Object line;
+
+        private Call(long after, long waitNs, long now) {
+            this.after = after;
+            this.waitNs = waitNs;
+            askedAt = now;
+        }
+
+        private boolean givenUp(long now) {
+            return now >= askedAt + waitNs + ANSWER_NS;
+        }
+
+        /** A watch answered with nothing, long before its time: made again at once it would be all we do. */
+        private boolean waitedNot(MemberList list, long now) {
+            return list.version() == after && list.servers().isEmpty() && now < askedAt + waitNs / 2;
+        }
+    }
+
+    private final LongSupplier clock;
+    private final Timers timers;
+    private final Wire wire;
+    private final long pauseNs;
+    private final ArrayDeque<Call> out = new ArrayDeque<>();
+    private final Timer doubt = new Timer() {
+        @Override
+        protected void fire() {
+            overdue();
+        }
+    };
+    /** The whole list has come from this address: only then do its versions and ours mean the same. */
+    private boolean whole;
+    /** The last call was answered: the next may wait. */
+    private boolean well;
+    private boolean held;
+    private boolean stopped;
+    private long version;
+    private long startedAt;
+
+    /** {@code drainGraceNs}: what the rules give between the news of a drain and the last send. */
+    ListWatch(LongSupplier clock, Timers timers, long drainGraceNs, Wire wire) {
+        this.clock = clock;
+        this.timers = timers;
+        this.wire = wire;
+        pauseNs = Math.max(LEAST_PAUSE_NS, Math.min(MOST_PAUSE_NS, drainGraceNs / 2));
+    }
+
+    /** From a list as held before: it may be old, so the whole list is asked for all the same. */
+    void start(MemberList known) {
+        startedAt = clock.getAsLong();
+        version = known.version();
+        call(null);
+    }
+
+    /** Whether discovery has answered since the start. */
+    boolean held() {
+        return held;
+    }
+
+    /** Whether discovery has answered, or has had the time in which it would. */
+    boolean settled() {
+        return held || clock.getAsLong() - startedAt > ANSWER_NS;
+    }
+
+    /** The wire leads elsewhere from now on, where versions may be counted otherwise. */
+    void moved() {
+        whole = false;
+        well = false;
+        hangUp();
+        call(null);
+    }
+
+    void stop() {
+        stopped = true;
+        timers.cancel(doubt);
+        hangUp();
+    }
+
+    void answered(Call call, MemberList list) {
+        if (!out.remove(call)) {
+            return;
+        }
+        boolean changes = !list.full();
+        if (changes && list.version() < call.after) {
+            whole = false; // changes to a list that we do not hold
+            failed("changes up to version " + list.version() + ", asked for those after " + call.after);
+            return;
+        }
+        hangUp();
+        version = list.version();
+        whole = true;
+        well = true;
+        held = true;
+        wire.take(list, changes ? ListForm.CHANGES : ListForm.FULL);
+        if (changes && call.waitedNot(list, clock.getAsLong())) {
+            failed("a watch that does not wait");
+        } else {
+            call(call);
+        }
+    }
+
+    void failed(Call call, String why) {
+        if (out.remove(call)) {
+            failed(why);
+        }
+    }
+
+    private void failed(String why) {
+        wire.failed(why, well);
+        well = false;
+        long next = clock.getAsLong() + pauseNs; // not at once: some refuse at once, however often
+        if (!stopped && (!doubt.armed() || doubt.due() > next)) {
+            timers.set(doubt, next);
+        }
+    }
+
+    private void overdue() {
+        wire.failed("no answer", well);
+        well = false;
+        long now = clock.getAsLong();
+        for (Call each : List.copyOf(out)) {
+            if (each.givenUp(now)) {
+                out.remove(each);
+                wire.hangUp(each);
+            }
+        }
+        call(null);
+    }
+
+    private void call(Call before) {
+        if (stopped) {
+            return;
+        }
+        if (out.size() == MOST_OUT) {
+            wire.hangUp(out.pollFirst());
+        }
+        long now = clock.getAsLong();
+        Call call = new Call(whole ? version : -1, whole && well ? WAIT_NS : 0, now);
+        out.add(call);
+        timers.set(doubt, now + call.waitNs + pauseNs);
+        wire.ask(call, before);
+    }
+
+    private void hangUp() {
+        List.copyOf(out).forEach(wire::hangUp);
+        out.clear();
+    }
+}
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -39,8 +39,12 @@
     private static final long LAST_REQUEST_NS = 1_000_000_000L;
     private static final long QUIET_NS = 200_000_000L;
     private static final long DRAIN_CHECK_NS = 20_000_000L;
-    /** Descriptors kept back for the selector, files of the runtime, and the odd accept. */
-    private static final int SPARE_SOCKETS = 64;
+    /**
+     * Descriptors kept back from clients and hops: one turn's accepts, each of which may close another that
+     * the runtime lets go only at the turn's end; discovery's calls; the runtime's selector and files.
+     */
+    private static final int RUNTIME_FILES = 24;
+    private static final int SPARE_SOCKETS = Listener.AT_ONCE + ListWatch.MOST_OUT + RUNTIME_FILES;
 
     final EventLoop loop;
     final Counters counters = new Counters();
@@ -88,7 +92,7 @@
         boolean keeps = config.console() != null && config.state() != null;
         maintenance = new Maintenance(engine, keeps ? new Kept(config.state(), config.address()) : null);
         discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool,
-            maintenance);
+            maintenance, options.settings.rules().drainGraceNs());
         discovery.start(config.known());
         succession = keeps ? new Succession(this, config) : null;
         share();
@@ -250,7 +254,8 @@
     public String status() {
         return stopping ? "stopping" : standby() ? "standby"
             : succession != null && !succession.joined() ? "starting"
-            : engine.routes().size() > 0 || discovery.held() ? null : "no route table yet";
+            : discovery.held() || discovery.settled() && engine.routes().size() > 0 ? null
+            : "no route table yet";
     }
 
     boolean standby() {
--- /dev/null
+++ b/src/test/java/beechseam/platform/DescriptorsTest.java
@@ -0,0 +1,89 @@
+package beechseam.platform;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.Loopback;
+import beechseam.Loopback.Peer;
+import java.io.File;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole program under a limit of descriptors that the system enforces. */
+class DescriptorsTest extends NodeRig {
+    private static final int LIMIT = 256;
+
+    private InetSocketAddress node;
+
+    @Override
+    InetSocketAddress address() {
+        return node;
+    }
+
+    private static int freePort() {
+        try (Loopback net = new Loopback()) {
+            return net.standIn(new ArrayList<>()).getPort();
+        }
+    }
+
+    /** Room for discovery's calls and for hops is not lent to clients, however many there are. */
+    @Test
+    void idleClientsMayFillTheDescriptorsWhileDiscoveryIsDown(@TempDir Path dir) throws Exception {
+        node = new InetSocketAddress("127.0.0.1", freePort());
+        String config = "{\"listen\":\"127.0.0.1:" + node.getPort() + "\",\"discovery\":\"127.0.0.1:"
+            + discoveryAt.getPort() + "\",\"limits\":{\"sockets\":" + LIMIT + "},\"known\":"
+            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}";
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        File log = dir.resolve("log").toFile();
+        ProcessBuilder builder = new ProcessBuilder("bash", "-c", "ulimit -n " + LIMIT
+            + "; exec \"$0\" -cp \"$1\" beechseam.cli.Main serve --config \"$2\"",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            System.getProperty("java.class.path"), file.toString());
+        builder.environment().keySet().removeIf(key -> key.startsWith("PROXY_"));
+        Process serving = builder.redirectErrorStream(true).redirectOutput(log).start();
+        try {
+            Peer[] health = {null};
+            net.until("ready by the list as held", () -> {
+                if (health[0] == null || health[0].gone || health[0].heard().endsWith("not ready\n")) {
+                    net.settle(50);
+                    health[0] = client().say("GET /_health HTTP/1.1\r\n\r\n");
+                }
+                return health[0].heard().startsWith("HTTP/1.1 200");
+            });
+            File open = new File("/proc/" + serving.pid() + "/fd");
+            int[] most = {0};
+            List<Peer> crowd = new ArrayList<>();
+            for (int i = 0; i < 600; i++) {
+                Peer each = client();
+                crowd.add(i % 3 == 0 ? each : each.say("GET /_health HTTP/1.1\r\n\r\n")); // or says nothing
+                if (i % 20 == 0) {
+                    net.settle(2);
+                }
+                String[] files = open.list();
+                most[0] = Math.max(most[0], files == null ? 0 : files.length);
+            }
+            int calls = discovery.size();
+            net.until("further calls to discovery", () -> discovery.size() > calls + 10);
+            Peer job = ask("c1", "safe", "30000m");
+            hop(0, "c1").say(answer("202 Accepted", ""));
+            done("c1", "through");
+            assertTrue(heard(job, "through").startsWith("HTTP/1.1 200"));
+            Peer back = discovery.get(discovery.size() - 1); // discovery is back, and answers the newest call
+            net.until("its call", () -> back.heard().endsWith("\r\n\r\n"));
+            back.take();
+            back.say(answer("200 OK", list(9, row("SERVING"))));
+            net.until("the watch", () -> back.heard().contains("after=9&"));
+            System.out.println("descriptors at most " + most[0] + " of " + LIMIT);
+            assertTrue(most[0] <= LIMIT, "" + most[0]);
+            String said = Files.readString(log.toPath());
+            assertFalse(said.contains("Too many open files"), said);
+            assertTrue(crowd.stream().anyMatch(each -> each.gone), "the crowd was larger than the room");
+        } finally {
+            serving.destroyForcibly();
+        }
+    }
+}
--- a/src/test/java/beechseam/platform/NodeRig.java
+++ b/src/test/java/beechseam/platform/NodeRig.java
@@ -41,10 +41,15 @@
     abstract InetSocketAddress address() throws IOException;
 
     NodeConfig config(InetSocketAddress discoveryAt, String more) throws IOException, ConfigException {
+        return config(discoveryAt, more, SETTINGS);
+    }
+
+    NodeConfig config(InetSocketAddress discoveryAt, String more, String settings)
+        throws IOException, ConfigException {
         byte[] text = ("{\"name\":\"n\"," + more + "\"discovery\":\"127.0.0.1:"
             + discoveryAt.getPort() + "\",\"console\":\"127.0.0.1:0\",\"seed\":\"1f\","
             + "\"limits\":{\"sockets\":128},\"known\":"
-            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}").getBytes(StandardCharsets.UTF_8);
+            + list(1, row("SERVING")) + ",\"settings\":" + settings + "}").getBytes(StandardCharsets.UTF_8);
         return NodeConfig.of(new Tree("", (Map<?, ?>) Json.parse(text, 0, text.length)));
     }
 
@@ -81,6 +86,19 @@
             + "\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody");
     }
 
+    /** A connection to an executor rests after an answer, before the next request may go out on it. */
+    void rested() {
+        net.settle(25);
+    }
+
+    /** The node's first call to discovery is answered, so that it is ready. */
+    void listed(PlatformNode node) {
+        net.until("the list's request", () -> !discovery.isEmpty()
+            && discovery.get(discovery.size() - 1).heard().endsWith("\r\n\r\n"));
+        discovery.get(discovery.size() - 1).say(answer("200 OK", list(2, row("SERVING"))));
+        net.until("the list", node::held);
+    }
+
     void event(String id, String rest) {
         String event = "{\"id\":\"" + id + "\"," + rest + "}";
         Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nConnection: close\r\nContent-Length: "
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -60,6 +60,7 @@
         done("c1", "early");
         heard(client, "early");
         executor.get(0).say(answer("202 Accepted", ""));
+        rested();
         ask("c2", "once", "30000m");
         hop(0, "c2");
         assertEquals(1, executor.size());
@@ -429,6 +430,7 @@
 
     @Test
     void healthAndCountersAreToldOnRequest() {
+        listed(node);
         Peer client = client().say("GET /_health HTTP/1.1\r\n\r\nGET /_counters HTTP/1.1\r\n\r\n");
         String both = heard(client, "}}\n");
         assertTrue(both.startsWith("HTTP/1.1 200 OK"), both);
@@ -448,6 +450,7 @@
         String one = heard(client, "one");
         // The other nodes may be away as well: who is connected is sent away only when time is nearly up.
         assertTrue(node.leaving() || !one.contains("Connection: close\r\n"), one);
+        rested();
         Peer late = ask("c2", "once", "30000m");
         hop(0, "c2");
         executor.get(0).say(answer("202 Accepted", ""));
@@ -476,6 +479,7 @@
         assertEquals("ERR standby\n", operator(node.console(), "status"));
         Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
         net.until("an answer", () -> health.heard().startsWith("HTTP/1.1 503"));
+        rested();
         Peer second = ask("c2", "once", "30000m"); // the front sends new clients for a moment more
         hop(0, "c2").say(answer("202 Accepted", ""));
         done("c2", "two");
@@ -575,6 +579,7 @@
     /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
     @Test
     void connectionsAreBoundedOnTheIngressSide() {
+        listed(node);
         Peer client = ask("c1", "once", "30000m");
         hop(0, "c1").say(answer("202 Accepted", ""));
         List<Peer> idle = new ArrayList<>();
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -137,6 +137,7 @@
         Path deep = Files.createDirectories(directory.resolve("d".repeat(100)));
         PlatformNode alone = new PlatformNode(net.loop, config(discoveryAt,
             "\"listen\":\"127.0.0.1:0\",\"state_dir\":\"" + deep + "\","));
+        listed(alone);
         assertEquals("OK\n", status(alone));
     }
 
@@ -158,6 +159,7 @@
     @Test
     void whatTheElderHasLearnedComesWithItsWelcome() throws Exception {
         for (int i = 0; i < 5; i++) {
+            rested();
             Peer client = ask("c" + i, "safe", "30000m");
             hop(0, "c" + i).say(answer("202 Accepted", ""));
             executor.get(0).take();
