One last look before a hop's first byte, and connections are read before they are used

Change: Engine.begins is asked at the first byte and nowhere else; Ingress.waits reads the client's connection; a request's connection is read to its end first, and excess behind it is dropped; EgressPool.idle reads before it reuses, and lets a connection rest 20 ms after an answer; connections of removed executors are swept; queues before a dead executor no longer nest.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -242,7 +242,7 @@
         startLagNs = MIN_TICK_NS;
         watchBackoffNs = minAimNs;
         if (settings.askForList()) {
-            askForList();
+            actions.watchList();
         }
     }
 
@@ -680,11 +680,9 @@
 
     private boolean groupAllows(Held h, Member m) {
         Attempt first = h.firstMayHaveRun();
-        if (first == null || h.of.effect() != Effect.KEYED) {
-            return true;
-        }
-        if (now - first.sentAt > h.of.windowNs() - tickNs) {
-            return false;
+        boolean bound = first != null && h.of.effect() == Effect.KEYED;
+        if (!bound || now > repeatsEnd(h.job.id()) - tickNs) {
+            return !bound;
         }
         return switch (h.of.group()) {
             case ALL -> true;
@@ -693,6 +691,13 @@
         };
     }
 
+    /** When an attempt at the job must have begun; the host asks again, as one may wait for a connection. */
+    public long repeatsEnd(long job) {
+        Attempt first = jobs.containsKey(job) ? jobs.get(job).firstMayHaveRun() : null;
+        return first == null || first.job.of.effect() != Effect.KEYED ? Long.MAX_VALUE
+            : first.sentAt + first.job.of.windowNs();
+    }
+
     private Attempt attempt(long job, int number) {
         Held h = jobs.get(job);
         return h == null || number < 0 || number >= h.attempts.size() || h.attempts.get(number).over ? null
@@ -882,7 +887,8 @@
         now = at;
         if (tag == LIST) {
             if (listFailed) {
-                askForList();
+                listFailed = false;
+                actions.watchList();
             }
             return;
         }
@@ -991,11 +997,6 @@
         return any;
     }
 
-    private void askForList() {
-        listFailed = false;
-        actions.watchList();
-    }
-
     // ---- What was learned, for a dispatcher that takes this one's place
 
     /** What was learned, by name. With what cold workers were sent goes, for a span, the right to send. */
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -86,6 +86,7 @@
         return byId.size();
     }
 
+    /** The open request of that name, or null. */
     public Request find(String correlation) {
         return byCorrelation.get(correlation);
     }
@@ -194,6 +195,27 @@
 
     // ---- From the egress
 
+    /**
+     * Asked by an egress just before a hop's first byte, since much may have changed while the hop waited for
+     * a connection: its end was decided, its client has gone, its target drains, or the time in which the
+     * request may be repeated is over. False where it must not go any more; its end is then told.
+     */
+    public boolean begins(Hop hop) {
+        Request r = hop.request;
+        if (hop.over) {
+            return false;
+        }
+        boolean wanted = !r.finished && r.ingress.waits(r) && !r.finished && !hop.over;
+        if (wanted && routes.serving(hop.target) && now() < module.repeatsEnd(r.id)) {
+            hop.begun();
+            return true;
+        }
+        counters.withheld += wanted ? 1 : 0;
+        trace("withheld", r.id, hop.number, hop.target, wanted);
+        tell(() -> end(hop, Outcome.NOT_SENT, null, null));
+        return false;
+    }
+
     public void started(Hop hop) {
         tell(() -> {
             hop.heardOf = true;
--- a/src/main/java/beechseam/core/Hop.java
+++ b/src/main/java/beechseam/core/Hop.java
@@ -19,7 +19,7 @@
         this.timeout = timeout;
     }
 
-    /** Its first byte goes out: from here on it may run. */
+    /** Its first byte goes out: from here on it may run. See {@link Engine#begins}, which asks first. */
     public void begun() {
         begun = true;
     }
--- a/src/main/java/beechseam/core/Ingress.java
+++ b/src/main/java/beechseam/core/Ingress.java
@@ -10,4 +10,13 @@
 
     /** Given up, with no promise about its effect. */
     void failed(Request request, String why);
+
+    /**
+     * Whether the client still waits, as far as can be told at this instant: asked before a hop's first byte,
+     * since a client may have gone unnoticed in the turn in which the hop is sent. One that has gone may be
+     * told to {@link Engine#left} within the call.
+     */
+    default boolean waits(Request request) {
+        return true;
+    }
 }
--- a/src/main/java/beechseam/http/ServerConnection.java
+++ b/src/main/java/beechseam/http/ServerConnection.java
@@ -80,7 +80,7 @@
             return;
         }
         busy = false;
-        boolean close = !keepAlive || stopping();
+        boolean close = !keepAlive || stopping() || peerEnded();
         write(HttpWriter.response(status, headers, body, close));
         if (close) {
             busy = true;
@@ -91,6 +91,24 @@
         }
     }
 
+    /** A request is acted on: its client may have gone behind it, as far as that has come. */
+    @Override
+    protected final boolean readsToEnd() {
+        return !busy;
+    }
+
+    /**
+     * Behind a request that is under way so much has come that reading would stop, and the client's close
+     * would not be noticed any more. What follows is dropped, and the connection ends with the answer.
+     */
+    @Override
+    protected final boolean dropsExcess() {
+        if (busy) {
+            keepAlive = false;
+        }
+        return busy;
+    }
+
     /** Requests that waited until answers were taken. */
     @Override
     protected final void written() {
@@ -128,8 +146,10 @@
             respond(408, "Content-Type: text/plain\r\n", text("the request did not come in time"));
         } else if (silent || idle() && now - lastActivity() > IDLE_NS) {
             closeUnlessAsked();
-        } else if (ending() && now - endedAt > END_NS || unwritten() > 0 && now - lastActivity() > STALL_NS) {
-            close();
+        } else if (unwritten() > 0 ? now - lastActivity() > STALL_NS
+            : ending() && now - Math.max(endedAt, lastActivity()) > END_NS) {
+            // The time to close counts from when the last answer is out, however slowly it was read.
+            fail(new IOException("the peer wastes its connection"));
         }
     }
 
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -35,6 +35,9 @@
     private boolean ending;
     private long discarded;
     private boolean full;
+    private boolean dropping;
+    private boolean offering;
+    private boolean peerEnded;
     private boolean readPaused;
     private boolean flushDue;
     private long lastActivity;
@@ -77,6 +80,23 @@
         return MOST_DISCARDED;
     }
 
+    /**
+     * Whether a read goes on to what the peer has sent last, its end included, before the bytes are offered:
+     * an owner that acts on a request wants to know by then whether the peer has gone behind it.
+     */
+    protected boolean readsToEnd() {
+        return false;
+    }
+
+    /**
+     * The read buffer is full and its owner uses nothing of it. False stops the reading, until some is used;
+     * true drops all that is in it and that still comes, up to {@link #mostDiscarded}, so that the peer's
+     * close is still noticed.
+     */
+    protected boolean dropsExcess() {
+        return false;
+    }
+
     /**
      * Whether what is written waits for the end of the loop's turn, so that many small messages of one turn
      * go out in one call of the system; more than a piece never waits.
@@ -173,6 +193,11 @@
         }
     }
 
+    /** Whether the peer's end has been read behind the bytes on offer; it is told as a loss after these. */
+    protected final boolean peerEnded() {
+        return peerEnded;
+    }
+
     /** Whether {@link #endWhenWritten} has been called. */
     public final boolean ending() {
         return ending;
@@ -241,7 +266,7 @@
      * request that waits unread in the kernel would be lost with it, and on a slow node it may wait for long.
      */
     public final void catchUp() {
-        if (connecting || closed || ending || readPaused || full) {
+        if (connecting || closed || ending || readPaused || full || offering || peerEnded) {
             return;
         }
         try {
@@ -288,6 +313,12 @@
         }
     }
 
+    /** A fault in a callback costs this connection: its owner is told, so that nothing of it is kept. */
+    @Override
+    public final void fault(SelectionKey ignored, Exception why) {
+        fail(new IOException("fault in a callback", why));
+    }
+
     private void up() {
         connecting = false;
         lastActivity = loop.now();
@@ -302,32 +333,46 @@
         if (in == null) {
             in = loop.buffers.take();
         }
-        if (ending) {
+        if (ending || dropping) {
             in.clear();
-        } else if (!in.hasRemaining()) {
+        }
+        if (!in.hasRemaining()) {
             ByteBuffer larger = loop.buffers.larger(in, Math.min(mostRead, in.capacity() * 2));
             if (larger == null) {
                 throw new IOException("no room for so long a message");
             }
             in = larger;
         }
-        int n = channel.read(in);
-        if (n < 0) {
+        int sum = 0;
+        int n;
+        do { // a buffer that is filled is offered first: what comes behind a long message may wait
+            n = channel.read(in);
+            sum += Math.max(0, n);
+        } while (n > 0 && in.hasRemaining() && readsToEnd());
+        peerEnded = n < 0;
+        if (peerEnded && sum == 0) {
             throw new IOException("closed by the peer");
         }
-        if (n > 0 && ending) {
+        if (sum > 0 && (ending || dropping)) {
             in.clear();
-            discarded += n;
+            discarded += sum;
             if (discarded > mostDiscarded()) {
-                close();
+                if (ending) {
+                    close();
+                } else {
+                    throw new IOException("the peer sends on and on");
+                }
             }
-        } else if (n > 0) {
+        } else if (sum > 0) {
             lastActivity = loop.now();
             offer();
         } else if (in.position() == 0) { // nothing has come: the buffer is not kept for it
             loop.buffers.give(in);
             in = null;
         }
+        if (peerEnded && !closed) {
+            throw new IOException("closed by the peer");
+        }
         if (!closed) {
             interest();
         }
@@ -335,7 +380,12 @@
 
     private void offer() {
         in.flip();
-        received(in);
+        offering = true;
+        try {
+            received(in);
+        } finally {
+            offering = false;
+        }
         if (closed) {
             return;
         }
@@ -347,7 +397,13 @@
     }
 
     private void interest() {
-        full = in != null && in.position() >= mostRead && !ending;
+        full = in != null && in.position() >= mostRead && !ending && !dropping;
+        if (full && !offering && dropsExcess()) {
+            dropping = true;
+            full = false;
+            loop.buffers.give(in);
+            in = null;
+        }
         if (key != null && key.isValid()) {
             // A full buffer that nobody uses up stops the reading, not the heap.
             key.interestOps((full || readPaused && !ending ? 0 : SelectionKey.OP_READ)
--- a/src/main/java/beechseam/net/EventLoop.java
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -20,6 +20,11 @@
     /** What a selection key carries. */
     public interface Ready {
         void ready(SelectionKey key) throws IOException;
+
+        /** A fault got out of {@link #ready}: whoever owns the channel must not go on counting on it. */
+        default void fault(SelectionKey key, Exception why) {
+            closeQuietly(key.channel());
+        }
     }
 
     public final TimerQueue timers = new TimerQueue();
@@ -109,7 +114,7 @@
             LOG.log(Level.DEBUG, "a connection closed in the same turn");
         } catch (IOException | RuntimeException e) {
             LOG.log(Level.ERROR, "fault on a connection", e);
-            closeQuietly(key.channel());
+            guarded(() -> ((Ready) key.attachment()).fault(key, e));
         }
     }
 
--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -37,31 +37,33 @@
         connect(target.address);
     }
 
-    /** Begins an exchange on the idle connection. */
-    void begin(Exchange next) {
+    /** Begins an exchange on the idle connection; false where it was not wanted any more. */
+    boolean begin(Exchange next) {
         now = next;
         stoodIdleNs = loop.now() - lastActivity();
-        start();
+        return start();
     }
 
     @Override
     protected void connected() {
         loop.timers.cancel(connectTimeout);
-        start();
+        if (!start()) {
+            pool.idle(this);
+        }
     }
 
-    /** Asked at the last moment: the route table may have changed while the exchange waited. */
-    private void start() {
+    /** Asked at the last moment: much may have changed while the exchange waited. */
+    private boolean start() {
         begun = false;
         if (!now.wanted()) {
             now = null;
-            pool.idle(this);
-            return;
+            return false;
         }
         begun = true;
         whole = false;
         now.connection = this;
         write(now.bytes());
+        return true;
     }
 
     /** All that waited has been written: the exchange under way, if it has begun, is out to its last byte. */
@@ -85,7 +87,7 @@
                     return;
                 }
                 if (parser.status() >= 200) {
-                    answered();
+                    answered(in.hasRemaining());
                 }
             }
         } catch (HttpException e) {
@@ -93,11 +95,12 @@
         }
     }
 
-    private void answered() {
+    /** {@code more}: bytes behind the answer, which the next exchange would take for its own. */
+    private void answered(boolean more) {
         Exchange done = now;
         now = null;
         done.connection = null;
-        if (parser.keepAlive() && !parser.untilClose() && unwritten() == 0) {
+        if (parser.keepAlive() && !parser.untilClose() && unwritten() == 0 && !more) {
             pool.idle(this);
         } else {
             close();
@@ -111,10 +114,15 @@
         close();
     }
 
-    /** A peer that has vanished says nothing: its exchange is broken off. */
+    /**
+     * A peer that has vanished says nothing: its exchange is broken off. One that trickles an answer without
+     * end is no longer listened to once what it was asked has ended by other ways.
+     */
     void sweep(long time, long stallNs) {
         if (now != null && time - lastActivity() > stallNs) {
             fail(new IOException("no answer"));
+        } else if (now != null && begun && now.outlived(time)) {
+            abandon();
         }
     }
 
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -46,6 +46,11 @@
 
     /** Something on the way may forget idle connections sooner than told; but none is renewed at each use. */
     private static final long LEAST_KEPT_NS = 50_000_000L;
+    /**
+     * A second answer may come some milliseconds behind the first, and would be taken for that to the next
+     * request: so a connection rests before that, where another is free or can be opened.
+     */
+    private static final long REST_NS = 20_000_000L;
     /** So long after the last break a longer pause is tried again. */
     private static final long STALE_NS = 30_000_000_000L;
 
@@ -53,6 +58,8 @@
     private int mostOpen;
     private int mostPerTarget;
     private final Map<Long, Target> targets = new HashMap<>();
+    /** No longer listed, but with connections that are still busy: these end by the same clocks. */
+    private final Set<Target> removed = new LinkedHashSet<>();
     private int open;
 
     /** The executor's side closes what stands idle for {@code idleCloseNs}: this side does so well before. */
@@ -85,6 +92,7 @@
         Target t = targets.remove(id);
         if (t != null) {
             t.gone = true;
+            removed.add(t);
             List.copyOf(t.idle).forEach(EgressConnection::close);
             List<Exchange> queued = new ArrayList<>(t.queue);
             t.queue.clear();
@@ -106,15 +114,12 @@
 
     /** Sends it on an idle connection, a new one, or when one frees. */
     void send(Target t, Exchange exchange) {
-        EgressConnection idle = t.idle.pollFirst();
-        if (idle != null && loop.now() - idle.lastActivity() > t.keepIdleNs) {
-            idle.close();
-            List.copyOf(t.idle).forEach(EgressConnection::close); // they have stood longer still
-            idle = null;
-        }
+        EgressConnection idle = idle(t);
         if (idle != null) {
             t.busy.add(idle);
-            idle.begin(exchange);
+            if (!idle.begin(exchange)) {
+                idle(idle);
+            }
             return;
         }
         if (t.open >= mostPerTarget || open >= mostOpen && !closeAnIdleOne()) {
@@ -135,6 +140,27 @@
         fresh.open(exchange);
     }
 
+    /**
+     * The idle connection used last that has rested, or null. Its peer may have closed it in this very turn,
+     * and a request written to it then may have run for all that is known: so what it has said is read first.
+     */
+    private EgressConnection idle(Target t) {
+        long now = loop.now();
+        while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > t.keepIdleNs) {
+            t.idle.peekLast().close();
+        }
+        boolean full = t.open >= mostPerTarget || open >= mostOpen;
+        for (EgressConnection c : List.copyOf(t.idle)) {
+            if (full && c == t.idle.peekLast() || now - c.lastActivity() >= REST_NS) {
+                c.catchUp();
+                if (!c.closed() && t.idle.remove(c)) {
+                    return c;
+                }
+            }
+        }
+        return null;
+    }
+
     private boolean closeAnIdleOne() {
         for (Target t : targets.values()) {
             EgressConnection oldest = t.idle.pollLast();
@@ -156,13 +182,13 @@
             c.close();
             return;
         }
-        Exchange next = t.queue.poll();
-        if (next != null) {
-            c.begin(next);
-        } else {
-            t.busy.remove(c);
-            t.idle.addFirst(c);
+        for (Exchange next = t.queue.poll(); next != null; next = t.queue.poll()) {
+            if (c.begin(next)) {
+                return;
+            }
         }
+        t.busy.remove(c);
+        t.idle.addFirst(c);
     }
 
     /**
@@ -183,7 +209,12 @@
         t.idle.remove(c);
         t.busy.remove(c);
         if (!t.queue.isEmpty() && !t.gone) {
-            send(t, t.queue.poll());
+            loop.atTurnEnd(() -> { // not within: a long queue before a dead executor would nest as deep
+                Exchange next = t.gone ? null : t.queue.poll();
+                if (next != null) {
+                    send(t, next);
+                }
+            });
         }
     }
 
@@ -202,6 +233,10 @@
             }
             List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
         }
+        removed.removeIf(t -> t.open == 0);
+        for (Target t : List.copyOf(removed)) {
+            List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
+        }
     }
 
     void close() {
--- a/src/main/java/beechseam/platform/Exchange.java
+++ b/src/main/java/beechseam/platform/Exchange.java
@@ -17,6 +17,11 @@
     void written() {
     }
 
+    /** Whether its answer, which has not come whole, is of no use any more. */
+    boolean outlived(long time) {
+        return false;
+    }
+
     abstract void answered(HttpParser answer);
 
     /** No answer will come. */
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -23,6 +23,7 @@
     private final PlatformNode node;
     private Request request;
     private boolean callbacks;
+    private boolean taking;
 
     IngressConnection(PlatformNode node, SocketChannel channel) throws IOException {
         super(node.loop, channel);
@@ -88,6 +89,9 @@
             bad(400, "X-Time-Left is missing or no time, such as 480m or 1500u");
         } else if (key == null ? keyed(jobClass) : !key.isVisible()) {
             bad(400, "Idempotency-Key is missing or malformed");
+        } else if (peerEnded()) {
+            node.counters.left++; // gone behind its request: nobody is there to answer, nothing is sent
+            node.counters.taken++;
         } else if (node.crowded() || node.shedding()) {
             turnAway(jobClass);
         } else {
@@ -140,7 +144,9 @@
         JobMessage message = new JobMessage(m.target().toString(), headers.toString(), m.body().copy());
         boolean firstTry = node.options.marksRetries && m.header("x-repeat") == null;
         Job job = new Job(0, jobClass, budget, 0, slots > 0 ? slots : 1, memory >= 0 ? memory : 0, firstTry);
+        taking = true;
         Request taken = node.engine.take(id.toString(), job, message, this);
+        taking = false;
         if (taken == null) {
             bad(409, "a request with this X-Correlation-Id is still open");
         } else if (!taken.finished()) {
@@ -178,6 +184,13 @@
         respond(502, PLAIN, text(why));
     }
 
+    /** A close may have come in this very turn, or while this node had no processor time: read first. */
+    @Override
+    public boolean waits(Request r) {
+        catchUp();
+        return request == r || taking;
+    }
+
     @Override
     protected void refused(HttpException why) {
         node.counters.badInput++;
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -75,6 +75,7 @@
         private final EgressPool.Target target;
         private boolean accepted;
         private boolean givenUp;
+        private long writtenAt = Long.MAX_VALUE;
         private final Timer silence = new Timer() {
             @Override
             protected void fire() {
@@ -89,17 +90,7 @@
 
         @Override
         boolean wanted() {
-            if (hop.over() || givenUp) {
-                return false;
-            }
-            if (!engine.routes().serving(hop.target)) {
-                // It waited for a connection while the target was told to drain: drains count at this byte.
-                engine.counters().withheld++;
-                engine.ended(hop, Outcome.NOT_SENT, null, null);
-                return false;
-            }
-            hop.begun();
-            return true;
+            return !givenUp && engine.begins(hop);
         }
 
         @Override
@@ -113,7 +104,14 @@
         @Override
         void written() {
             engine.counters().of(hop.request.jobClass).written++;
-            pool.loop.timers.set(silence, pool.loop.now() + pool.connectTimeoutNs);
+            writtenAt = pool.loop.now();
+            pool.loop.timers.set(silence, writtenAt + pool.connectTimeoutNs);
+        }
+
+        /** A close before the 202 gives the job up at the executor: only once the hop has ended there. */
+        @Override
+        boolean outlived(long time) {
+            return hop.over() && time - pool.connectTimeoutNs > writtenAt;
         }
 
         /** Its connection has fallen silent, or its machine has: the job may have run, or may yet. */
--- a/src/test/java/beechseam/core/EngineTest.java
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -195,6 +195,44 @@
         assertEquals(1, w.counters.ended(Outcome.TIMEOUT));
     }
 
+    /** A hop may wait for a connection until the time in which its request may be repeated is over. */
+    @Test
+    void aRepeatThatHasWaitedPastTheWindowDoesNotBegin() {
+        World w = new World(Effect.KEYED);
+        w.engine.routes(ListForm.FULL, List.of(new Worker(1, 0, "z", "k", 0, State.READY),
+            new Worker(2, 0, "z", "k", 0, State.READY)));
+        Request r = w.take("a");
+        Hop first = w.out.remove(0);
+        assertTrue(w.engine.begins(first));
+        w.engine.ended(first, Outcome.LOST, null, null);
+        Hop second = w.out.get(0);
+        w.pass(1900 * MS);
+        assertTrue(w.engine.begins(second), "the window is 2 s");
+        w.pass(101 * MS);
+        w.out.remove(second);
+        assertFalse(w.engine.begins(second));
+        assertTrue(second.over());
+        w.pass(4 * S);
+        assertEquals("failed", w.answers.get(r), "it may have run");
+        assertEquals(1, w.counters.withheld);
+    }
+
+    /** Its answer is given, or its target drains, while a hop waits: it does not begin. */
+    @Test
+    void aHopThatNobodyNeedsOrWhoseTargetDrainsDoesNotBegin() {
+        World w = new World(Effect.SAFE);
+        w.take("a");
+        Hop drained = w.out.remove(0);
+        w.list(0, State.READY);
+        assertFalse(w.engine.begins(drained));
+        w.list(3, State.READY);
+        Request r = w.take("b");
+        Hop unwanted = w.out.stream().filter(each -> each.request == r).findFirst().orElseThrow();
+        r.finished = true;
+        assertFalse(w.engine.begins(unwanted));
+        assertTrue(drained.over() && unwanted.over());
+    }
+
     @Test
     void aNameThatIsOpenIsNotTakenTwice() {
         World w = new World(Effect.SAFE);
--- a/src/test/java/beechseam/net/ConnectionTest.java
+++ b/src/test/java/beechseam/net/ConnectionTest.java
@@ -131,6 +131,36 @@
         }
     }
 
+    /** What throws while it reads costs its own connection, and its owner hears so. */
+    @Test
+    void aFaultInACallbackEndsTheConnectionForItsOwnerToo() throws IOException {
+        try (Loopback net = new Loopback()) {
+            List<Loopback.Peer> far = new ArrayList<>();
+            int[] ends = {0, 0};
+            Connection near = new Connection(net.loop, null, 1024) {
+                @Override
+                protected void received(ByteBuffer bytes) {
+                    throw new IllegalStateException("test");
+                }
+
+                @Override
+                protected void lost(IOException why) {
+                    ends[0]++;
+                }
+
+                @Override
+                protected void released() {
+                    ends[1]++;
+                }
+            };
+            near.connect(net.standIn(far));
+            net.until("the connect", () -> far.size() == 1);
+            far.get(0).say("x");
+            net.until("the end", () -> far.get(0).gone);
+            assertArrayEquals(new int[] {1, 1}, ends);
+        }
+    }
+
     @Test
     void aRefusedConnectIsLostOnce() {
         try (Loopback net = new Loopback()) {
