A move of discovery that no signal told is found when the old address refuses

The first break comes 0.56 and 0.47 s after 15.54 and 13.51 s, which are 4 s after a new configuration was due at some node (one each 0.08 s from 8.3 s on), to server, whose drain all nodes are told at 12.1 s: so a node is left with an old list for good after its SIGHUP. Ruled out: serving by an old list before being told (mended, and it broke again); calls to discovery that stay silent (ListWatch asks every 0.15 s). Not found: why the move is not made; a file read half written or before it was replaced, and PROXY_DISCOVERY, which is from before the start, all lead to it.

Change: an address that refuses or resets is looked up again in the configuration's file, once a second at most. Test: aMoveOfDiscoveryThatNoSignalToldIsFound, which cannot pass without it.

--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -50,6 +50,9 @@
         on("HUP", () -> loop.post(() -> reload(reloaded[0], environment)));
         PlatformNode platform = node == null ? null : new PlatformNode(loop, node);
         reloaded[0] = platform;
+        if (platform != null) {
+            platform.rereads(() -> NodeConfig.reload(environment));
+        }
         GearmanServer jobServer = second == null ? null
             : new GearmanServer(loop, second, node == null ? System.nanoTime() : node.seed());
         int[] fronts = {(platform == null ? 0 : 1) + (jobServer == null ? 0 : 1)};
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -3,8 +3,10 @@
 import beechseam.Dispatching.ListForm;
 import beechseam.Dispatching.State;
 import beechseam.Dispatching.Worker;
+import beechseam.config.ConfigException;
 import beechseam.config.Json;
 import beechseam.config.MemberList;
+import beechseam.config.NodeConfig;
 import beechseam.core.Engine;
 import beechseam.http.HttpException;
 import beechseam.http.HttpParser;
@@ -30,6 +32,8 @@
     private static final Logger LOG = System.getLogger(Discovery.class.getName());
     /** A call that may not wait says so: news is there, or there is none. */
     private static final long LEAST_WAIT_MS = 1;
+    /** So often at most the configuration is looked at again; far less than what a moved address is given. */
+    private static final long LOOK_NS = 1_000_000_000L;
 
     private final EventLoop loop;
     private final Engine engine;
@@ -38,6 +42,8 @@
     private final ListWatch watch;
     private InetSocketAddress address;
     private String host;
+    private PlatformNode.Configuration lookup;
+    private long lookedAt;
 
     /** {@code drainGraceNs}: see {@link ListWatch}. */
     Discovery(EventLoop loop, InetSocketAddress address, String host, Engine engine, EgressPool pool,
@@ -87,6 +93,29 @@
         watch.stop();
     }
 
+    /** Where the address may be looked up again, when nobody is at the one that this node was told of. */
+    void lookup(PlatformNode.Configuration theLookup) {
+        lookup = theLookup;
+    }
+
+    /**
+     * Its address refuses or resets: discovery may have moved, and word of that may not have come. A signal
+     * finds a process that has read its file and is not up yet, or a file that is only half written; asking
+     * at the old address would then go on for good.
+     */
+    private void lookAgain() {
+        if (lookup == null || loop.now() - lookedAt < LOOK_NS) {
+            return;
+        }
+        lookedAt = loop.now();
+        try {
+            NodeConfig now = lookup.read();
+            move(now.discovery(), now.discoveryHost());
+        } catch (ConfigException e) {
+            LOG.log(Level.WARNING, "discovery is not at " + host + ", and " + e.getMessage());
+        }
+    }
+
     @Override
     public void ask(ListWatch.Call call, ListWatch.Call before) {
         Line open = before == null ? null : (Line) before.line;
@@ -215,6 +244,7 @@
         @Override
         protected void lost(IOException why) {
             broken(why.getMessage());
+            lookAgain();
         }
     }
 }
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -1,6 +1,7 @@
 package beechseam.platform;
 
 import beechseam.Dispatching.JobClass;
+import beechseam.config.ConfigException;
 import beechseam.config.ModuleOptions;
 import beechseam.config.NodeConfig;
 import beechseam.core.Counters;
@@ -46,6 +47,11 @@
     private static final int RUNTIME_FILES = 24;
     private static final int SPARE_SOCKETS = Listener.AT_ONCE + ListWatch.MOST_OUT + RUNTIME_FILES;
 
+    /** The configuration as its file has it now, checked. */
+    public interface Configuration {
+        NodeConfig read() throws ConfigException;
+    }
+
     final EventLoop loop;
     final Counters counters = new Counters();
     final ModuleOptions options;
@@ -155,6 +161,11 @@
         LOG.log(Level.INFO, "reload: done");
     }
 
+    /** Where the configuration may be read again, should discovery not be where this node was told. */
+    public void rereads(Configuration configuration) {
+        discovery.lookup(configuration);
+    }
+
     /** A new configuration that cannot be used: the old one stays. */
     public void refuseReload(String why) {
         counters.confInvalid++;
--- a/src/test/java/beechseam/platform/CrossingsTest.java
+++ b/src/test/java/beechseam/platform/CrossingsTest.java
@@ -329,6 +329,28 @@
         call(0, "after=9&");
     }
 
+    /** The file names another address, and no signal says so: the node looks once the old one refuses. */
+    @Test
+    void aMoveOfDiscoveryThatNoSignalToldIsFound() throws Exception {
+        listed(SETTINGS, false);
+        List<Peer> moved = new ArrayList<>();
+        String settings = SETTINGS;
+        InetSocketAddress movedTo = net.standIn(moved);
+        node.rereads(() -> {
+            try {
+                return config(movedTo, LISTEN, settings);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        net.until("the watch", () -> discovery.get(0).heard().contains("after=2&"));
+        long start = System.nanoTime();
+        discovery.get(0).close();
+        net.until("a call there", () -> moved.size() == 1 && moved.get(0).heard().endsWith("\r\n\r\n"));
+        assertTrue(System.nanoTime() - start < 4_000_000_000L);
+        assertTrue(moved.get(0).heard().startsWith("GET /catalog/members HTTP/1.1"), "the whole list");
+    }
+
     @Test
     void aNodeIsReadyOnceItWasToldAndNotByAnOldList() {
         node(SETTINGS);
