SIGHUP that was ignored before the start is told of, and discovery is found without it

All 74 moves of discovery were missed, and nodes kept an old list until their restart.

Test: StarterTest.aMoveOfDiscoveryIsFoundWhereSighupIsIgnored, the whole program under trap '' HUP; DescriptorsTest is now StarterTest's other test, unchanged.

--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Runs a node until SIGTERM. */
 @Parameters(commandDescription = "Run a node; the platform tells it how by PROXY_CONFIG and its companions")
@@ -102,11 +103,15 @@
 
     /**
      * Left alone the runtime ends on these signals. On SIGHUP operators want the configuration read again; on
-     * SIGTERM its shutdown hooks would run beside the loop, and the one that ends all logging at once.
+     * SIGTERM its shutdown hooks would run beside the loop, and the one that ends all logging at once. One
+     * that was ignored before the start, as under nohup, the runtime leaves so whatever it is told.
      */
     private static void on(String signal, Runnable action) {
         try {
-            Signal.handle(new Signal(signal), received -> action.run());
+            if (Signal.handle(new Signal(signal), received -> action.run()) == SignalHandler.SIG_IGN) {
+                LOG.log(Level.WARNING,
+                    "SIG" + signal + " is ignored by who started this program, and stays so");
+            }
         } catch (IllegalArgumentException e) { // the system has none, or the runtime leaves it alone
             LOG.log(Level.WARNING, "SIG" + signal + " is not handled: " + e.getMessage());
         }
--- a/src/test/java/beechseam/platform/DescriptorsTest.java
+++ b/src/test/java/beechseam/platform/StarterTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The whole program under a limit of descriptors that the system enforces. */
-class DescriptorsTest extends NodeRig {
+/** The whole program under what its starter has set: a limit of descriptors, a signal that is ignored. */
+class StarterTest extends NodeRig {
     private static final int LIMIT = 256;
 
     private InetSocketAddress node;
@@ -30,21 +30,55 @@
         }
     }
 
+    private Process serve(Path dir, String before) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("bash", "-c", before
+            + "; exec \"$0\" -cp \"$1\" beechseam.cli.Main serve --config \"$2\"",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            System.getProperty("java.class.path"), dir.resolve("config.json").toString());
+        builder.environment().keySet().removeIf(key -> key.startsWith("PROXY_"));
+        return builder.redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
+    }
+
+    private void configure(Path dir, InetSocketAddress discoveryAt) throws Exception {
+        Files.writeString(dir.resolve("config.json"), "{\"listen\":\"127.0.0.1:" + node.getPort()
+            + "\",\"discovery\":\"127.0.0.1:" + discoveryAt.getPort() + "\",\"limits\":{\"sockets\":" + LIMIT
+            + "},\"known\":" + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}");
+    }
+
+    /** As under nohup: SIGHUP reaches nobody, and discovery has moved all the same. */
+    @Test
+    void aMoveOfDiscoveryIsFoundWhereSighupIsIgnored(@TempDir Path dir) throws Exception {
+        node = new InetSocketAddress("127.0.0.1", freePort());
+        configure(dir, discoveryAt);
+        Process serving = serve(dir, "trap '' HUP");
+        try {
+            net.until("a call", () -> !discovery.isEmpty()
+                && discovery.get(0).heard().endsWith("\r\n\r\n"));
+            discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
+            net.until("the watch", () -> discovery.get(0).heard().contains("after=41&"));
+            List<Peer> moved = new ArrayList<>();
+            configure(dir, net.standIn(moved));
+            String pid = Long.toString(serving.pid());
+            assertEquals(0, new ProcessBuilder("kill", "-HUP", pid).start().waitFor());
+            net.settle(300);
+            assertTrue(moved.isEmpty(), "nobody heard the signal");
+            discovery.get(0).close();
+            net.until("the whole list asked for there", () -> moved.size() > 0
+                && moved.get(0).heard().startsWith("GET /catalog/members HTTP/1.1"));
+            assertTrue(serving.isAlive());
+            String said = Files.readString(dir.resolve("log"));
+            assertTrue(said.contains("SIGHUP is ignored by who started this program"), said);
+        } finally {
+            serving.destroyForcibly();
+        }
+    }
+
     /** Room for discovery's calls and for hops is not lent to clients, however many there are. */
     @Test
     void idleClientsMayFillTheDescriptorsWhileDiscoveryIsDown(@TempDir Path dir) throws Exception {
         node = new InetSocketAddress("127.0.0.1", freePort());
-        String config = "{\"listen\":\"127.0.0.1:" + node.getPort() + "\",\"discovery\":\"127.0.0.1:"
-            + discoveryAt.getPort() + "\",\"limits\":{\"sockets\":" + LIMIT + "},\"known\":"
-            + list(1, row("SERVING")) + ",\"settings\":" + SETTINGS + "}";
-        Path file = Files.writeString(dir.resolve("config.json"), config);
-        File log = dir.resolve("log").toFile();
-        ProcessBuilder builder = new ProcessBuilder("bash", "-c", "ulimit -n " + LIMIT
-            + "; exec \"$0\" -cp \"$1\" beechseam.cli.Main serve --config \"$2\"",
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            System.getProperty("java.class.path"), file.toString());
-        builder.environment().keySet().removeIf(key -> key.startsWith("PROXY_"));
-        Process serving = builder.redirectErrorStream(true).redirectOutput(log).start();
+        configure(dir, discoveryAt);
+        Process serving = serve(dir, "ulimit -n " + LIMIT);
         try {
             Peer[] health = {null};
             net.until("ready by the list as held", () -> {
@@ -79,7 +113,7 @@
             net.until("the watch", () -> back.heard().contains("after=9&"));
             System.out.println("descriptors at most " + most[0] + " of " + LIMIT);
             assertTrue(most[0] <= LIMIT, "" + most[0]);
-            String said = Files.readString(log.toPath());
+            String said = Files.readString(dir.resolve("log"));
             assertFalse(said.contains("Too many open files"), said);
             assertTrue(crowd.stream().anyMatch(each -> each.gone), "the crowd was larger than the room");
         } finally {
