--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -60,7 +60,7 @@
     /** The list as held before the start: it may be old, so the whole list is asked for all the same. */
     void start(MemberList known) {
         if (!known.servers().isEmpty()) {
-            apply(known, ListForm.CACHED);
+            take(known, ListForm.CACHED);
         }
         watch.start(known);
     }
@@ -142,10 +142,6 @@
 
     @Override
     public void take(MemberList list, ListForm form) {
-        apply(list, form);
-    }
-
-    private void apply(MemberList list, ListForm form) {
         List<Worker> lines = new ArrayList<>();
         Set<Long> named = new HashSet<>();
         for (MemberList.Server s : list.servers()) {
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -231,12 +231,14 @@
             while (!t.idle.isEmpty() && now - t.idle.peekLast().lastActivity() > t.keepIdleNs) {
                 t.idle.peekLast().close();
             }
-            List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
+            sweepBusy(t, now);
         }
         removed.removeIf(t -> t.open == 0);
-        for (Target t : List.copyOf(removed)) {
-            List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
-        }
+        List.copyOf(removed).forEach(t -> sweepBusy(t, now));
+    }
+
+    private static void sweepBusy(Target t, long now) {
+        List.copyOf(t.busy).forEach(each -> each.sweep(now, STALL_NS));
     }
 
     void close() {
--- a/src/test/java/beechseam/VirtualDay.java
+++ b/src/test/java/beechseam/VirtualDay.java
@@ -92,8 +92,7 @@
                 return;
             }
             long span = settings.rules().overloadForNs();
-            boolean told = job.toldOf.getOrDefault(this, 0L) == born; // by then its node knew of this start
-            taken.add(new double[] {now, job.work * job.need, told ? 1 : 0});
+            taken.add(new double[] {now, job.work * job.need, job.toldBorn == born ? 1 : 0});
             taken.removeIf(t -> t[0] < now - span);
             double mean = meanWork();
             double n = settings.rules().overloadFactor() * ramp() * slots * speed * span / mean;
@@ -153,7 +152,8 @@
         double work;
         double need;
         boolean gone;
-        Map<Box, Long> toldOf;
+        /** The start of its worker that its node knew of as it was sent. */
+        long toldBorn;
 
         /** A process that has ended hears nothing any more. */
         void tell(Consumer<Engine> what) {
@@ -224,7 +224,7 @@
             job.hop = hop;
             job.work = asked.work;
             job.need = asked.need;
-            job.toldOf = Map.of(box, toldOf.getOrDefault(box, 0L));
+            job.toldBorn = toldOf.getOrDefault(box, 0L);
             hop.carrier = job;
             long way = WAY + (box.zone.equals(zone()) ? 0 : MS);
             after(way, () -> box.take(job));
--- a/src/test/java/beechseam/net/ConnectionTest.java
+++ b/src/test/java/beechseam/net/ConnectionTest.java
@@ -16,6 +16,26 @@
 import org.junit.jupiter.api.Test;
 
 class ConnectionTest {
+    /** Counts how often it is told of its loss, and counted out. */
+    private abstract static class Counted extends Connection {
+        private final int[] ends;
+
+        Counted(EventLoop loop, int mostRead, int[] ends) throws IOException {
+            super(loop, null, mostRead);
+            this.ends = ends;
+        }
+
+        @Override
+        protected void lost(IOException why) {
+            ends[0]++;
+        }
+
+        @Override
+        protected void released() {
+            ends[1]++;
+        }
+    }
+
     /** The first start on the bench crashed here: the discovery client wrote before its connect was done. */
     @Test
     void bytesWrittenBeforeItIsUpWaitForIt() {
@@ -35,23 +55,13 @@
             List<Loopback.Peer> far = new ArrayList<>();
             StringBuilder sent = new StringBuilder();
             int[] ends = {0, 0}; // told of the loss, counted out
-            Connection near = new Connection(net.loop, null, 64 * 1024) {
+            Connection near = new Counted(net.loop, 64 * 1024, ends) {
                 @Override
                 protected void received(ByteBuffer bytes) {
                     assertFalse(closed());
                     int some = Math.min(bytes.remaining(), 1 + random.nextInt(100)); // the rest is kept
                     bytes.position(bytes.position() + some);
                 }
-
-                @Override
-                protected void lost(IOException why) {
-                    ends[0]++;
-                }
-
-                @Override
-                protected void released() {
-                    ends[1]++;
-                }
             };
             boolean closing = false;
             near.connect(net.standIn(far));
@@ -137,21 +147,11 @@
         try (Loopback net = new Loopback()) {
             List<Loopback.Peer> far = new ArrayList<>();
             int[] ends = {0, 0};
-            Connection near = new Connection(net.loop, null, 1024) {
+            Connection near = new Counted(net.loop, 1024, ends) {
                 @Override
                 protected void received(ByteBuffer bytes) {
                     throw new IllegalStateException("test");
                 }
-
-                @Override
-                protected void lost(IOException why) {
-                    ends[0]++;
-                }
-
-                @Override
-                protected void released() {
-                    ends[1]++;
-                }
             };
             near.connect(net.standIn(far));
             net.until("the connect", () -> far.size() == 1);
