Requests wait until discovery has answered: no attempt goes by a list that may be old

Cause: Discovery.start takes the list as held into the engine, and nothing between IngressConnection.job and a hop's first byte (Engine.begins) asked whether discovery had answered. A process that comes back is sent requests by clients that do not ask for its health, and sent them on by its old list, though what the agent has counts as told from its first moment.

Checked and ruled out: the hop was not a late connection (it went out in the same turn), nor a second attempt.

Change: the engine asks a gate before it offers a request to the module and before an attempt's first byte. RouteTableFreshness is the gate: closed after a start, a move of discovery, and when the process did not run for over half the drain grace, which a heartbeat shows. Requests, attempts and probes wait, with their deadlines; what cannot wait is refused with when to come back. An answer confirms the table only if its call was made since and cannot have lain unread; discovery's time is counted by heartbeats that have read its connections, so none passes for a process that does not run. /_health, status and one log line tell the state.

Changed: the rig of PlatformNodeTest and SuccessionTest answers discovery's first call, which requests now wait for; settled() is asked as freshness().open().

--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -3,6 +3,7 @@
 import beechseam.Dispatcher;
 import beechseam.Dispatching.Actions;
 import beechseam.Dispatching.Job;
+import beechseam.Dispatching.Limits;
 import beechseam.Dispatching.ListForm;
 import beechseam.Dispatching.Load;
 import beechseam.Dispatching.Outcome;
@@ -35,7 +36,9 @@
     private final Map<String, Request> byCorrelation = new HashMap<>();
     // The module is never entered while it acts: what its actions bring about at once waits here.
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
-    private final boolean copies;
+    private final DeferredWork waiting = new DeferredWork();
+    private final Limits limits;
+    private SendGate gate = SendGate.ALWAYS_OPEN;
     private boolean inside;
     private long lastId;
     private long lastAnswerAt = Long.MAX_VALUE;
@@ -46,7 +49,7 @@
         this.timers = timers;
         this.egress = egress;
         this.counters = counters;
-        copies = settings.limits().copies();
+        limits = settings.limits();
         trace("settings", settings);
         inside = true; // the module may act from its constructor on
         module = new Dispatcher(now(), settings, seed, new Doing());
@@ -140,9 +143,39 @@
         };
         timers.set(r.deadline, Math.min(due, lastAnswerAt));
         trace("take", r.id, job.jobClass(), budgetNs, job.firstTry());
+        if (gate.open()) {
+            offer(r, job, budgetNs);
+        } else {
+            waiting.add(r, job);
+        }
+        return r;
+    }
+
+    private void offer(Request r, Job job, long budgetNs) {
         tell(() -> module.job(now(), new Job(r.id, job.jobClass(), budgetNs, job.workNs(), job.slots(),
             job.memory(), job.firstTry())));
-        return r;
+    }
+
+    /** Where the route table is not always current: who knows whether it is. */
+    public void gate(SendGate theGate) {
+        gate = theGate;
+    }
+
+    /** The gate has opened: what waited for it goes on, unless it has closed again meanwhile. */
+    public void resume() {
+        if (!waiting.isEmpty() && gate.open()) {
+            tell(() -> waiting.release((r, job) -> offer(r, job, r.deadlineAt - now()), this::sendOn,
+                egress::probe));
+        }
+    }
+
+    /** An attempt that waited: its target may be listed otherwise by now. */
+    private void sendOn(Hop hop) {
+        if (routes.serving(hop.target)) {
+            egress.send(hop);
+        } else {
+            withhold(hop, true);
+        }
     }
 
     /**
@@ -168,11 +201,13 @@
     private void expire(Request r, boolean cut) {
         for (Hop hop : List.copyOf(r.hops)) {
             if (!hop.over && !cut) { // told of a cut hop's end the module would send another
-                egress.cancel(hop);
+                withdraw(hop);
                 end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         }
-        if (!r.finished) { // the module would still wait, but the client does not
+        if (!r.finished && r.deferred) {
+            shed(r, limits.retryAfter() ? Math.min(gate.opensWithinNs(), limits.maxRetryAfterNs()) : 0);
+        } else if (!r.finished) { // the module would still wait, but the client does not
             counters.of(r.jobClass).failed++;
             finish(r);
             r.ingress.failed(r, cut ? "the node is stopping" : "no answer in time");
@@ -181,6 +216,21 @@
         }
     }
 
+    private void shed(Request r, long pauseNs) {
+        counters.of(r.jobClass).shed++;
+        trace("shed", r.id, pauseNs);
+        finish(r);
+        r.ingress.shed(r, pauseNs);
+        forget(r);
+    }
+
+    /** The hop's answer is not wanted any more. */
+    private void withdraw(Hop hop) {
+        if (!hop.deferred) {
+            egress.cancel(hop);
+        }
+    }
+
     private void finish(Request r) {
         r.finished = true;
         timers.cancel(r.deadline);
@@ -198,22 +248,32 @@
     /**
      * Asked by an egress just before a hop's first byte, since much may have changed while the hop waited for
      * a connection: its end was decided, its client has gone, its target drains, or the time in which the
-     * request may be repeated is over. False where it must not go any more; its end is then told.
+     * request may be repeated is over. False where it must not go any more, and its end is then told, or
+     * where the gate is closed, and it is then given to the egress once more.
      */
     public boolean begins(Hop hop) {
         Request r = hop.request;
         if (hop.over) {
             return false;
         }
+        if (!gate.open()) {
+            waiting.add(hop);
+            return false;
+        }
         boolean wanted = !r.finished && r.ingress.waits(r) && !r.finished && !hop.over;
         if (wanted && routes.serving(hop.target) && now() < module.repeatsEnd(r.id)) {
             hop.begun();
             return true;
         }
+        withhold(hop, wanted);
+        return false;
+    }
+
+    /** It ends with nothing sent; {@code wanted}: its client still waits. */
+    private void withhold(Hop hop, boolean wanted) {
         counters.withheld += wanted ? 1 : 0;
-        trace("withheld", r.id, hop.number, hop.target, wanted);
+        trace("withheld", hop.request.id, hop.number, hop.target, wanted);
         tell(() -> end(hop, Outcome.NOT_SENT, null, null));
-        return false;
     }
 
     public void started(Hop hop) {
@@ -318,7 +378,11 @@
             if (timeout != null) {
                 timers.set(timeout, now() + timeoutNs);
             }
-            egress.send(hop);
+            if (gate.open()) {
+                egress.send(hop);
+            } else {
+                waiting.add(hop);
+            }
         }
 
         @Override
@@ -328,8 +392,8 @@
                 return;
             }
             Hop hop = r.hops.get(attempt);
-            if (r.finished || copies) {
-                egress.cancel(hop);
+            if (r.finished || hop.deferred || limits.copies()) {
+                withdraw(hop);
             } else if (!egress.takeBack(hop)) {
                 return;
             }
@@ -340,11 +404,7 @@
         public void refuse(long job, long pauseNs) {
             Request r = byId.get(job);
             if (r != null && !r.finished) {
-                counters.of(r.jobClass).shed++;
-                trace("shed", job, pauseNs);
-                finish(r);
-                r.ingress.shed(r, pauseNs);
-                forget(r);
+                shed(r, pauseNs);
             }
         }
 
@@ -364,7 +424,11 @@
         public void probe(long worker) {
             counters.probes++;
             trace("probe", worker);
-            egress.probe(worker);
+            if (gate.open()) {
+                egress.probe(worker);
+            } else {
+                waiting.add(worker);
+            }
         }
 
         @Override
@@ -391,7 +455,7 @@
     private void timeOut(Request r, Hop hop) {
         tell(() -> {
             if (hop != null && !hop.over) {
-                egress.cancel(hop);
+                withdraw(hop);
                 end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         });
--- a/src/main/java/beechseam/core/Hop.java
+++ b/src/main/java/beechseam/core/Hop.java
@@ -11,6 +11,8 @@
     boolean over;
     boolean begun;
     boolean heardOf;
+    /** It waits for the send gate; the egress does not hold it. */
+    boolean deferred;
 
     Hop(Request request, int number, long target, Timer timeout) {
         this.request = request;
--- a/src/main/java/beechseam/core/Request.java
+++ b/src/main/java/beechseam/core/Request.java
@@ -18,6 +18,8 @@
     Timer deadline;
     int out;
     boolean finished;
+    /** It waits for the send gate, and the module does not know of it. */
+    boolean deferred;
 
     Request(long id, String correlation, int jobClass, long deadlineAt, Object message, Ingress ingress) {
         this.id = id;
--- /dev/null
+++ b/src/main/java/beechseam/core/SendGate.java
@@ -0,0 +1,26 @@
+package beechseam.core;
+
+/**
+ * Whether the route table may be acted on. The engine asks before it offers a request to the module and
+ * before an attempt's first byte; what may not go yet waits until {@link Engine#resume}.
+ */
+public interface SendGate {
+    /** For hosts whose route table is always current. */
+    SendGate ALWAYS_OPEN = new SendGate() {
+        @Override
+        public boolean open() {
+            return true;
+        }
+
+        @Override
+        public long opensWithinNs() {
+            return 0;
+        }
+    };
+
+    /** Whether requests may be sent now. May take in news of the route table first. */
+    boolean open();
+
+    /** Nanoseconds until it opens at the latest, as far as is known; 0 where it is open. */
+    long opensWithinNs();
+}
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -264,15 +264,17 @@
     /**
      * Takes in what the peer has sent already. To be called before a connection that looks idle is closed: a
      * request that waits unread in the kernel would be lost with it, and on a slow node it may wait for long.
+     * Reads once: whether bytes, or the peer's end, had come.
      */
-    public final void catchUp() {
+    public final boolean catchUp() {
         if (connecting || closed || ending || readPaused || full || offering || peerEnded) {
-            return;
+            return false;
         }
         try {
-            read();
+            return read();
         } catch (IOException e) {
             fail(e);
+            return true;
         }
     }
 
@@ -329,7 +331,7 @@
         }
     }
 
-    private void read() throws IOException {
+    private boolean read() throws IOException {
         if (in == null) {
             in = loop.buffers.take();
         }
@@ -376,6 +378,7 @@
         if (!closed) {
             interest();
         }
+        return sum > 0;
     }
 
     private void offer() {
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -70,9 +70,9 @@
         return watch.held();
     }
 
-    /** Whether discovery has answered since the start, or has had the time in which it would. */
-    boolean settled() {
-        return watch.settled();
+    /** Whether the route table may be acted on. */
+    RouteTableFreshness freshness() {
+        return watch.freshness();
     }
 
     /**
@@ -140,6 +140,17 @@
         LOG.log(first ? Level.INFO : Level.DEBUG, "discovery: " + why + "; asking again");
     }
 
+    @Override
+    public boolean readUnread(ListWatch.Call call) {
+        boolean any = false;
+        if (call.line instanceof Line line) {
+            while (line.call == call && line.catchUp()) {
+                any = true;
+            }
+        }
+        return any;
+    }
+
     @Override
     public void take(MemberList list, ListForm form) {
         List<Worker> lines = new ArrayList<>();
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -45,7 +45,9 @@
         } else if (path.same("/_health")) {
             if (allowed(get, "GET")) {
                 boolean ready = node.ready();
-                respond(ready ? 200 : 503, PLAIN, text(ready ? "ready" : "not ready"));
+                String table = node.routeTable().name().toLowerCase(Locale.ROOT);
+                respond(ready ? 200 : 503, PLAIN + "X-Route-Table: " + table + "\r\n",
+                    text(ready ? "ready" : "not ready"));
             }
         } else if (path.same("/_counters")) {
             if (allowed(get, "GET")) {
--- a/src/main/java/beechseam/platform/ListWatch.java
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -48,6 +48,9 @@
 
         /** For the log: the first of a row of failures, or a further one. */
         void failed(String why, boolean first);
+
+        /** Takes in what has come for the call and is unread. Whether anything had. */
+        boolean readUnread(Call call);
     }
 
     /** A call that is out. {@code after} is the version it asks from, or -1 for the whole list. */
@@ -92,7 +95,7 @@
     private boolean held;
     private boolean stopped;
     private long version;
-    private long startedAt;
+    private final RouteTableFreshness freshness;
 
     /** {@code drainGraceNs}: what the rules give between the news of a drain and the last send. */
     ListWatch(LongSupplier clock, Timers timers, long drainGraceNs, Wire wire) {
@@ -100,12 +103,19 @@
         this.timers = timers;
         this.wire = wire;
         pauseNs = Math.max(LEAST_PAUSE_NS, Math.min(MOST_PAUSE_NS, drainGraceNs / 2));
+        freshness = new RouteTableFreshness(clock, timers, pauseNs, ANSWER_NS, this::readUnread,
+            this::recheck);
+    }
+
+    /** Whether the list may be acted on. */
+    RouteTableFreshness freshness() {
+        return freshness;
     }
 
     /** From a list as held before: it may be old, so the whole list is asked for all the same. */
     void start(MemberList known) {
-        startedAt = clock.getAsLong();
         version = known.version();
+        freshness.start();
         call(null);
     }
 
@@ -114,21 +124,34 @@
         return held;
     }
 
-    /** Whether discovery has answered, or has had the time in which it would. */
-    boolean settled() {
-        return held || clock.getAsLong() - startedAt > ANSWER_NS;
-    }
-
     /** The wire leads elsewhere from now on, where versions may be counted otherwise. */
     void moved() {
         whole = false;
         well = false;
         hangUp();
+        freshness.moved();
         call(null);
     }
 
+    /** What has been told may be old: a call is made that may not wait, beside those that are out. */
+    private void recheck() {
+        if (out.stream().noneMatch(each -> each.waitNs == 0 && freshness.confirms(each.askedAt))) {
+            well = false;
+            call(null);
+        }
+    }
+
+    private boolean readUnread() {
+        boolean any = false;
+        for (Call each : List.copyOf(out)) {
+            any |= out.contains(each) && wire.readUnread(each);
+        }
+        return any;
+    }
+
     void stop() {
         stopped = true;
+        freshness.stop();
         timers.cancel(doubt);
         hangUp();
     }
@@ -146,9 +169,9 @@
         hangUp();
         version = list.version();
         whole = true;
-        well = true;
         held = true;
         wire.take(list, changes ? ListForm.CHANGES : ListForm.FULL);
+        well = freshness.answered(call.askedAt); // a call after a late answer may not wait
         if (changes && call.waitedNot(list, clock.getAsLong())) {
             failed("a watch that does not wait");
         } else {
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -99,6 +99,8 @@
         maintenance = new Maintenance(engine, keeps ? new Kept(config.state(), config.address()) : null);
         discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool,
             maintenance, options.settings.rules().drainGraceNs());
+        discovery.freshness().onOpen(() -> loop.atTurnEnd(engine::resume));
+        engine.gate(discovery.freshness());
         discovery.start(config.known());
         succession = keeps ? new Succession(this, config) : null;
         share();
@@ -254,7 +256,12 @@
 
     /** What the node says of its health; whose clients another process takes must not speak against it. */
     boolean ready() {
-        return handedOver() || status() == null;
+        return handedOver() || notServing(discovery.freshness().hasOpened()) == null;
+    }
+
+    /** Whether the route table may be acted on, for who asks for the node's health. */
+    RouteTableFreshness.State routeTable() {
+        return discovery.freshness().state();
     }
 
     boolean handedOver() {
@@ -263,9 +270,15 @@
 
     @Override
     public String status() {
+        return notServing(discovery.freshness().open());
+    }
+
+    /** Why clients are not served, or null; {@code mayGo}: attempts may begin. */
+    private String notServing(boolean mayGo) {
         return stopping ? "stopping" : standby() ? "standby"
             : succession != null && !succession.joined() ? "starting"
-            : discovery.held() || discovery.settled() && engine.routes().size() > 0 ? null
+            : !mayGo ? "waiting for discovery's list"
+            : discovery.held() || engine.routes().size() > 0 ? null
             : "no route table yet";
     }
 
--- a/src/test/java/beechseam/core/EngineTest.java
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -30,6 +30,21 @@
     private static final long MS = 1_000_000L;
     private static final long S = 1000 * MS;
 
+    /** A gate that the test opens and closes. */
+    private static final class TestGate implements SendGate {
+        boolean open = true;
+
+        @Override
+        public boolean open() {
+            return open;
+        }
+
+        @Override
+        public long opensWithinNs() {
+            return open ? 0 : 700 * MS;
+        }
+    }
+
     /** A host whose clock and wires the test moves by hand. */
     private static final class World implements Egress, Ingress {
         final TimerQueue timers = new TimerQueue();
@@ -39,6 +54,8 @@
         final Map<Request, String> answers = new HashMap<>();
         final Engine engine;
         long now = 1_700_000_000L * S;
+        final List<Long> probed = new ArrayList<>();
+        final TestGate gate = new TestGate();
         boolean failAtOnce;
         boolean sending;
 
@@ -48,6 +65,7 @@
                 new Limits(4, S, true, true, false, true, 10 * S),
                 new Rules(300 * MS, 8 * S, 0.25, 8 * S, 3, S, false), Reports.ANSWERS, false, 1, 0, "z", true,
                 S, 0.05, 0, 0, false), 5, () -> now, timers, this, counters);
+            engine.gate(gate);
             list(3, State.READY);
         }
 
@@ -78,6 +96,7 @@
 
         @Override
         public void send(Hop hop) {
+            assertTrue(gate.open, "sent though the gate is closed");
             assertFalse(hop.request.finished(), "sent after the final answer");
             assertTrue(engine.routes().serving(hop.target), "sent to a target that is not in service");
             assertNull(answers.get(hop.request));
@@ -99,6 +118,8 @@
 
         @Override
         public void probe(long target) {
+            assertTrue(gate.open, "probed though the gate is closed");
+            probed.add(target);
             engine.probed(target, false, null);
         }
 
@@ -131,7 +152,11 @@
         List<Request> left = new ArrayList<>();
         for (int step = 0; step < 120; step++) {
             Hop hop = w.out.isEmpty() ? null : w.out.get(random.nextInt(w.out.size()));
-            switch (random.nextInt(9)) {
+            switch (random.nextInt(10)) {
+                case 9 -> {
+                    w.gate.open = !w.gate.open;
+                    w.engine.resume();
+                }
                 case 0, 1 -> w.take("r" + random.nextInt(200));
                 case 2 -> w.pass(random.nextInt(300) * MS);
                 case 3 -> w.list(1 + random.nextInt(3), State.values()[random.nextInt(2)]);
@@ -233,6 +258,88 @@
         assertTrue(drained.over() && unwanted.over());
     }
 
+    // ---- The send gate
+
+    @Test
+    void requestsWaitForTheGateAndGoInOrderWithTheTimeThatIsLeft() {
+        World w = new World(Effect.SAFE);
+        w.gate.open = false;
+        Request first = w.take("a");
+        Request second = w.take("b");
+        w.pass(300 * MS);
+        assertEquals(0, w.counters.sent);
+        assertEquals(2, w.engine.open());
+        w.gate.open = true;
+        w.engine.resume();
+        assertEquals(List.of(first, second), w.out.stream().map(each -> each.request).toList());
+        w.pass(4 * S);
+        assertTrue(w.answers.containsKey(first) && w.answers.containsKey(second));
+    }
+
+    /** Nothing of it was sent: it is refused, with the time until the gate opens, and not failed. */
+    @Test
+    void aRequestWhoseTimePassesAtTheGateIsRefusedWithWhenToComeBack() {
+        World w = new World(Effect.UNSAFE);
+        w.gate.open = false;
+        Request r = w.take("a");
+        w.pass(4 * S - 26 * MS);
+        assertNull(w.answers.get(r));
+        w.pass(2 * MS);
+        assertEquals("shed " + 700 * MS, w.answers.get(r));
+        assertEquals(0, w.engine.open());
+        w.gate.open = true;
+        w.engine.resume();
+        assertEquals(0, w.counters.sent);
+    }
+
+    @Test
+    void aRequestWhoseClientLeavesAtTheGateIsForgotten() {
+        World w = new World(Effect.SAFE);
+        w.gate.open = false;
+        Request r = w.take("a");
+        w.engine.left(r);
+        assertEquals(0, w.engine.open());
+        w.gate.open = true;
+        w.engine.resume();
+        assertEquals(0, w.counters.sent);
+        assertNotNull(w.take("a"), "its name is free");
+    }
+
+    /** The gate closes between the decision and the first byte: the attempt goes out once, when it opens. */
+    @Test
+    void anAttemptThatHasNotBegunWaitsForTheGate() {
+        World w = new World(Effect.UNSAFE);
+        w.take("a");
+        Hop hop = w.out.remove(0);
+        w.gate.open = false;
+        assertFalse(w.engine.begins(hop));
+        assertFalse(hop.over());
+        w.engine.resume();
+        assertTrue(w.out.isEmpty(), "still closed");
+        w.gate.open = true;
+        w.engine.resume();
+        assertEquals(List.of(hop), w.out);
+        assertTrue(w.engine.begins(hop));
+        assertEquals(1, w.counters.sent);
+    }
+
+    /** What was learned at the gate counts: the target drains, and the attempt ends as never sent. */
+    @Test
+    void anAttemptWhoseTargetDrainsAtTheGateGoesElsewhere() {
+        World w = new World(Effect.UNSAFE);
+        w.list(1, State.READY);
+        w.take("a");
+        Hop hop = w.out.remove(0);
+        w.gate.open = false;
+        assertFalse(w.engine.begins(hop));
+        w.engine.routes(ListForm.FULL, List.of(new Worker(1, 1, "z", "k", 0, State.DRAINING),
+            new Worker(2, 0, "z", "k", 0, State.READY)));
+        w.gate.open = true;
+        w.engine.resume();
+        assertTrue(hop.over());
+        assertEquals(List.of(2L), w.out.stream().map(each -> each.target).toList());
+    }
+
     @Test
     void aNameThatIsOpenIsNotTakenTwice() {
         World w = new World(Effect.SAFE);
--- a/src/test/java/beechseam/platform/ListWatchTest.java
+++ b/src/test/java/beechseam/platform/ListWatchTest.java
@@ -169,6 +169,11 @@
         @Override
         public void failed(String why, boolean first) {
         }
+
+        @Override
+        public boolean readUnread(Call call) {
+            return false; // what arrives here is read as it arrives
+        }
     }
 
     /** The longest between a change that can be had and its being in hand, over troubles and moments. */
@@ -294,13 +299,13 @@
     @Test
     void settledOnceAnsweredOrAfterTheTimeOfAnAnswer() {
         Agent agent = new Agent(1);
-        assertFalse(agent.watch.settled());
+        assertFalse(agent.watch.freshness().open());
         agent.run(2 * MS);
-        assertTrue(agent.watch.settled() && agent.watch.held());
+        assertTrue(agent.watch.freshness().open() && agent.watch.held());
         Agent silent = new Agent(1, Way.SILENT);
-        silent.run(ListWatch.ANSWER_NS);
-        assertFalse(silent.watch.settled());
-        silent.run(ListWatch.ANSWER_NS + 1);
-        assertTrue(silent.watch.settled() && !silent.watch.held());
+        silent.run(ListWatch.ANSWER_NS - 1);
+        assertFalse(silent.watch.freshness().open());
+        silent.run(ListWatch.ANSWER_NS + GRACE / 4); // at the next heartbeat
+        assertTrue(silent.watch.freshness().open() && !silent.watch.held());
     }
 }
--- a/src/test/java/beechseam/platform/NodeRig.java
+++ b/src/test/java/beechseam/platform/NodeRig.java
@@ -1,5 +1,7 @@
 package beechseam.platform;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import beechseam.Loopback;
 import beechseam.Loopback.Peer;
 import beechseam.config.ConfigException;
@@ -91,12 +93,19 @@
         net.settle(25);
     }
 
-    /** The node's first call to discovery is answered, so that it is ready. */
+    /** The node's first call to discovery is answered, so that it sends, and its watch is open. */
     void listed(PlatformNode node) {
-        net.until("the list's request", () -> !discovery.isEmpty()
-            && discovery.get(discovery.size() - 1).heard().endsWith("\r\n\r\n"));
-        discovery.get(discovery.size() - 1).say(answer("200 OK", list(2, row("SERVING"))));
-        net.until("the list", node::held);
+        net.until("the list's request", () -> discovery.stream().anyMatch(NodeRig::asksForTheList));
+        Peer agent = discovery.stream().filter(NodeRig::asksForTheList).findFirst().orElseThrow();
+        agent.take();
+        agent.say(answer("200 OK", list(2, row("SERVING"))));
+        net.until("the watch", () -> node.held() && agent.heard().endsWith("\r\n\r\n"));
+        assertTrue(agent.heard().startsWith("GET /catalog/members?after=2&wait_ms="), agent.heard());
+    }
+
+    private static boolean asksForTheList(Peer agent) {
+        return agent.heard().startsWith("GET /catalog/members HTTP/1.1\r\n")
+            && agent.heard().endsWith("\r\n\r\n");
     }
 
     void event(String id, String rest) {
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -25,6 +25,7 @@
 
     PlatformNodeTest() throws IOException, ConfigException {
         node = new PlatformNode(net.loop, config(discoveryAt, LISTEN));
+        listed(node);
     }
 
     @Override
@@ -114,7 +115,7 @@
             && discovery.get(0).heard().endsWith("\r\n\r\n"));
         net.until("hops on all connections to one target", () -> node.counters.sent == 10
             && executor.size() == 6 && executor.stream().allMatch(each -> each.heard().endsWith("body")));
-        discovery.get(0).say(answer("200 OK", list(2, row("DRAINING"))));
+        discovery.get(0).say(answer("200 OK", list(3, row("DRAINING"))));
         net.until("the drain", () -> !node.engine.routes().serving(0x0badcafeL));
         executor.forEach(each -> each.say(answer("202 Accepted", "")));
         net.until("the rest withheld", () -> node.counters.withheld == 4);
@@ -240,8 +241,6 @@
     void discoveryIsWatchedAndMayBeSilent() {
         Peer client = ask("c1", "safe", "30000m");
         hop(0, "c1").take();
-        net.until("the first request", () -> discovery.size() == 1
-            && discovery.get(0).heard().startsWith("GET /catalog/members HTTP/1.1"));
         discovery.get(0).take();
         discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
         net.until("the watch", () -> discovery.get(0).heard().startsWith(
@@ -268,7 +267,6 @@
     void discoveryMovesWithoutLosingTheRouteTable() throws Exception {
         Peer client = ask("c1", "safe", "30000m");
         hop(0, "c1").say(answer("202 Accepted", ""));
-        net.until("the first request", () -> discovery.size() == 1 && !discovery.get(0).heard().isEmpty());
         discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
         net.until("the watch", () -> discovery.get(0).heard().contains("after=41&"));
         List<Peer> moved = new ArrayList<>();
@@ -430,7 +428,6 @@
 
     @Test
     void healthAndCountersAreToldOnRequest() {
-        listed(node);
         Peer client = client().say("GET /_health HTTP/1.1\r\n\r\nGET /_counters HTTP/1.1\r\n\r\n");
         String both = heard(client, "}}\n");
         assertTrue(both.startsWith("HTTP/1.1 200 OK"), both);
@@ -542,7 +539,6 @@
     /** From the OK on nothing new goes there, whatever is listed; put back it is used, as a cold target. */
     @Test
     void anExecutorInMaintenanceGetsNothingUntilItIsPutBack() throws Exception {
-        net.until("the first request", () -> discovery.size() == 1 && !discovery.get(0).heard().isEmpty());
         String no = "ERR no such executor was ever listed\n";
         assertEquals(no, operator(node.console(), "maint-on s-0badcaff"));
         assertEquals(no, operator(node.console(), "maint-off s-1"));
@@ -555,8 +551,8 @@
         assertEquals("OK\n", operator(node.console(), "maint-on s-0badcafe"));
         executor.forEach(each -> each.say(answer("202 Accepted", "")));
         net.until("the rest withheld", () -> node.counters.withheld == 4);
-        discovery.get(0).say(answer("200 OK", list(2, row("SERVING"))));
-        net.until("the list", () -> discovery.get(0).heard().contains("after=2&"));
+        discovery.get(0).say(answer("200 OK", list(3, row("SERVING"))));
+        net.until("the list", () -> discovery.get(0).heard().contains("after=3&"));
         assertFalse(node.engine.routes().serving(0x0badcafeL));
         for (int i = 0; i < 10; i++) {
             done("c" + i, "r");
@@ -579,7 +575,6 @@
     /** Above its bound the node closes connections that stand idle, never one that is owed an answer. */
     @Test
     void connectionsAreBoundedOnTheIngressSide() {
-        listed(node);
         Peer client = ask("c1", "once", "30000m");
         hop(0, "c1").say(answer("202 Accepted", ""));
         List<Peer> idle = new ArrayList<>();
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -26,6 +26,10 @@
     private final PlatformNode elder = start();
 
     SuccessionTest() throws Exception {
+        net.until("the elder's list", () -> {
+            answerDiscovery();
+            return elder.held();
+        });
     }
 
     private static int freePort() throws IOException {
