Lists of discovery of up to 4 MiB, however slowly they come, and told of when unusable

Cause: HttpParser.MAX_BODY, the protocol's 64 KiB for a job's body, bounded discovery's answers too; MAX_MESSAGE bounded their buffer and 8 KiB the frames of chunks. With 1,024 servers (125 KB) no list was ever taken, and the log said nothing of it: ListWatch told the first failure of all as a further one. A call was hung up 1 s after its time though its answer was still coming, and the oldest of eight as well.

Change: bounds by role, in HttpParser's constructor. Chunks are followed on from where the last read ended, and a buffer of which nothing was used is not moved: both cost time squared. A call whose answer comes is kept, and the oldest such one beside newer calls; a list that took over half a grace to come does not confirm the table. A list that cannot be used is logged at WARNING once a cause, with sizes and the byte. An object without version or servers is refused: it was taken for an empty list and emptied the route table. What a process hands over is framed by size, and may wait to be read whatever its size. The module's guess of slots no longer looks through all servers for each new one.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -90,7 +90,7 @@
     private long now, bornAt;
     private boolean ticking, listFailed, everReported;
     private double piMin = 1, meanNeed = 1, meanRunNs, runs = 3, meanWorth, othersMean, reportGapNs;
-    private double startLagNs, capacity, repeats = 1, copies = 1, probes = Double.MAX_VALUE;
+    private double startLagNs, slotsOfAny = 2, capacity, repeats = 1, copies = 1, probes = Double.MAX_VALUE;
     private long useCount, watchBackoffNs;
     private long loggedAt, refreshedAt, refused, failed;
 
@@ -271,6 +271,7 @@
             m.slots = Math.max(1, Math.rint(m.slotsSeen));
             m.slotsKnown = true;
             m.kind.slots = m.slots;
+            slotsOfAny = m.slots;
         }
         double inFlight = free < none ? Math.max(running, m.slots - free)
             : Double.isNaN(load.held()) ? or(load.utilization(), 0) * m.slots : running;
@@ -963,7 +964,7 @@
             if (m == null) {
                 m = new Member();
                 m.kind = kinds.computeIfAbsent(w.kind(), k -> new Speed());
-                m.slots = guessSlots(w);
+                m.slots = m.kind.slots > 0 ? m.kind.slots : slotsOfAny; // until it reports
                 m.lastUsed = -random.nextInt(1 << 20);
                 members.put(w.id(), m);
             } else if (w.bornNs() != m.info.bornNs()) { // a new process: the old one is void
@@ -983,20 +984,6 @@
         placeWaiting();
     }
 
-    /** Slots of a worker that has not reported: as others of its kind have, else as any. */
-    private double guessSlots(Worker w) {
-        double any = 2;
-        for (Member m : members.values()) {
-            if (m.slotsKnown) {
-                any = m.slots;
-                if (m.info.kind().equals(w.kind())) {
-                    return m.slots;
-                }
-            }
-        }
-        return any;
-    }
-
     // ---- What was learned, for a dispatcher that takes this one's place
 
     /** What was learned, by name. With what cold workers were sent goes, for a span, the right to send. */
@@ -1046,7 +1033,9 @@
                 m.slotsSeen = v[2];
                 m.reports = v[3];
                 m.slotsKnown = v[3] > 0;
-                m.slots = m.slotsKnown ? Math.max(1, Math.rint(v[2])) : m.slots;
+                if (m.slotsKnown) {
+                    m.slots = m.kind.slots = slotsOfAny = Math.max(1, Math.rint(v[2]));
+                }
                 m.others = v[4];
                 m.reportAt = now;
                 doubt(m, v[5]);
--- a/src/main/java/beechseam/cli/FleetModel.java
+++ b/src/main/java/beechseam/cli/FleetModel.java
@@ -15,6 +15,8 @@
 /** Measures membership in virtual time. */
 @Parameters(commandDescription = "Measure membership at many sizes, in virtual time")
 final class FleetModel extends Main.Command {
+    private static final int MAX_SIZE = 100_000;
+
     @Parameter(description = "SIZE ...: numbers of nodes; 3 10 100 where none is given")
     private List<Integer> sizes = new ArrayList<>();
 
@@ -30,8 +32,8 @@
     @Override
     int run() throws IOException, ConfigException {
         for (int n : sizes) {
-            if (n < 2 || n > 1000) {
-                throw new ConfigException("SIZE", "must be 2 to 1000, not " + n);
+            if (n < 2 || n > MAX_SIZE) {
+                throw new ConfigException("SIZE", "must be 2 to " + MAX_SIZE + ", not " + n);
             }
         }
         if (!(scale > 0 && scale <= 100)) {
--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -67,6 +67,7 @@
         known.put("load-gearman", LoadGearman::new);
         known.put("load-library", LoadLibrary::new);
         known.put("fleet-model", FleetModel::new);
+        known.put("measure-lists", MeasureLists::new);
         known.put("version", Version::new);
         Map<String, Command> commands = new LinkedHashMap<>();
         known.forEach((name, make) -> {
--- a/src/main/java/beechseam/config/Json.java
+++ b/src/main/java/beechseam/config/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -20,13 +21,15 @@
     private Json() {
     }
 
-    /** One whole document. */
+    /** One whole document; a fault in it is told with its place, in bytes from the start. */
     public static Object parse(byte[] text, int from, int length) throws IOException {
         try (JsonParser in = FACTORY.createParser(text, from, length)) {
             if (in.nextToken() == null) {
                 throw new IOException("an empty document");
             }
             return tree(in);
+        } catch (JsonProcessingException e) {
+            throw new IOException(e.getOriginalMessage() + " at byte " + e.getLocation().getByteOffset(), e);
         }
     }
 
--- a/src/main/java/beechseam/config/MemberList.java
+++ b/src/main/java/beechseam/config/MemberList.java
@@ -4,32 +4,64 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
-/** A list in discovery's form, as the network, the configuration and the importer have it. */
-public record MemberList(long version, boolean full, List<Server> servers) {
+/**
+ * A list in discovery's form, as the network, the configuration and the importer have it.
+ *
+ * @param version counted by discovery
+ * @param full whether it is the whole list, or what has changed
+ * @param servers its entries, in order
+ * @param unusable ids of entries that made no sense, where they had one
+ */
+public record MemberList(long version, boolean full, List<Server> servers, Set<String> unusable) {
     public static final MemberList NONE = new MemberList(0, true, List.of());
 
+    /** One whose entries all make sense. */
+    public MemberList(long version, boolean full, List<Server> servers) {
+        this(version, full, servers, Set.of());
+    }
+
     /** One row; {@code address} is null only for one that is gone. */
     public record Server(String id, String addr, InetSocketAddress address, String zone, String kind,
                          int cell, State state, double weight, long startedMs) {
     }
 
-    /** From the network: a row that makes no sense must not cost the node all the others. */
-    public static MemberList of(Map<?, ?> map, Consumer<String> skipped) throws IOException {
+    /**
+     * From the network. An entry that makes no sense must not cost the node all the others: it is left out,
+     * and {@code complaints} is given how many there were and what is wrong with the first. A whole list that
+     * names a server twice is refused, since which of the two counts cannot be known.
+     */
+    public static MemberList of(Map<?, ?> map, Consumer<String> complaints) throws IOException {
         try {
             Tree list = new Tree("", map);
+            if (!list.has("version") || !list.has("servers")) { // or any object would be an empty list
+                throw list.wrong(list.has("version") ? "servers" : "version", "is missing");
+            }
             List<Server> servers = new ArrayList<>();
-            for (Tree row : list.objects("servers")) {
+            Set<String> unusable = new HashSet<>();
+            int left = 0;
+            String first = null;
+            List<Tree> rows = list.objects("servers");
+            for (Tree row : rows) {
                 try {
                     servers.add(server(row));
                 } catch (ConfigException e) {
-                    skipped.accept(e.getMessage());
+                    left++;
+                    first = first == null ? e.getMessage() : first;
+                    if (row.values().get("id") instanceof String id) {
+                        unusable.add(id);
+                    }
                 }
             }
-            return of(list, servers);
+            if (left > 0) {
+                complaints.accept(left + " of " + rows.size() + " entries cannot be used, first " + first);
+            }
+            return checked(list, servers, unusable);
         } catch (ConfigException e) {
             throw new IOException(e.getMessage());
         }
@@ -41,11 +73,19 @@
         for (Tree row : list.objects("servers")) {
             servers.add(server(row));
         }
-        return of(list, servers);
+        return checked(list, servers, Set.of());
     }
 
-    private static MemberList of(Tree list, List<Server> servers) throws ConfigException {
-        return new MemberList(list.whole("version", 0, Long.MAX_VALUE, 0), list.flag("full", true), servers);
+    private static MemberList checked(Tree list, List<Server> servers, Set<String> unusable)
+        throws ConfigException {
+        boolean full = list.flag("full", true);
+        Set<String> ids = new HashSet<>();
+        for (Server each : servers) {
+            if (!ids.add(each.id()) && full) {
+                throw list.wrong("servers", "must name a server once, and names " + each.id() + " twice");
+            }
+        }
+        return new MemberList(list.whole("version", 0, Long.MAX_VALUE, 0), full, servers, unusable);
     }
 
     private static Server server(Tree row) throws ConfigException {
--- a/src/main/java/beechseam/core/RouteTable.java
+++ b/src/main/java/beechseam/core/RouteTable.java
@@ -65,6 +65,11 @@
         return rows.containsKey(target);
     }
 
+    /** The row as discovery last listed it, or null. */
+    public Worker listed(long target) {
+        return rows.get(target);
+    }
+
     Set<Long> ids() {
         return rows.keySet();
     }
--- a/src/main/java/beechseam/http/HttpParser.java
+++ b/src/main/java/beechseam/http/HttpParser.java
@@ -3,21 +3,30 @@
 import java.nio.ByteBuffer;
 
 /**
- * Reads one HTTP/1.1 message after the other from a connection's buffer. A message's parts are slices of that
- * buffer. Nothing is kept between calls but how far the head has been searched.
+ * Reads one HTTP/1.1 message after the other from a connection's buffer. A message's parts are slices of
+ * that buffer. Between calls it keeps only how far the head has been searched and the chunks have been
+ * followed, so that a message costs time in proportion to its length, in however many pieces it comes.
  */
 public final class HttpParser {
     public static final int MAX_HEAD = 16 * 1024;
+    /** The longest body of a job, by the platform's protocol. */
     public static final int MAX_BODY = 64 * 1024;
-    /** The most that a connection's buffer must hold: chunks add their frames. */
-    public static final int MAX_MESSAGE = MAX_HEAD + MAX_BODY + 8 * 1024;
+    /** The frames of a chunked body may add this share of the longest body. */
+    private static final int FRAME_SHARE = 8;
+    /** The most that the buffer of a connection for jobs must hold. */
+    public static final int MAX_MESSAGE = maxMessage(MAX_BODY);
+    private static final int MAX_CHUNK_LINE = 1024;
     private static final int MAX_HEADERS = 64;
 
     private final boolean request;
+    private final int maxBody;
     private final Slice[] names = new Slice[MAX_HEADERS];
     private final Slice[] values = new Slice[MAX_HEADERS];
     private int count;
     private int searched;
+    /** Offset from the message's start of the first chunk that has not come whole; 0 before the first. */
+    private int nextChunk;
+    private int chunkedLength;
     private byte[] b;
     private Slice method = Slice.EMPTY;
     private Slice target = Slice.EMPTY;
@@ -26,8 +35,23 @@
     private boolean keepAlive;
     private boolean untilClose;
 
+    /** For messages with bodies of jobs. */
     public HttpParser(boolean request) {
+        this(request, MAX_BODY);
+    }
+
+    /**
+     * @param request whether it reads requests, or else responses
+     * @param maxBody the longest body in bytes; a longer one is refused, and both lengths are told
+     */
+    public HttpParser(boolean request, int maxBody) {
         this.request = request;
+        this.maxBody = maxBody;
+    }
+
+    /** The most bytes that a buffer must hold for a message whose body has up to {@code maxBody} bytes. */
+    public static int maxMessage(int maxBody) {
+        return MAX_HEAD + maxBody + maxBody / FRAME_SHARE;
     }
 
     /** Takes a whole message off the buffer; false when more bytes are needed. */
@@ -52,12 +76,14 @@
             throw new HttpException(431, "the head is longer than " + MAX_HEAD + " bytes");
         }
         head(start, headEnd);
-        int end = body(headEnd, to);
+        int end = body(from, headEnd, to);
         if (end < 0) {
             return false;
         }
         in.position(end - in.arrayOffset());
         searched = 0;
+        nextChunk = 0;
+        chunkedLength = 0;
         return true;
     }
 
@@ -130,7 +156,7 @@
         values[count++] = new Slice(b, from, to - from);
     }
 
-    private int body(int from, int to) throws HttpException {
+    private int body(int message, int from, int to) throws HttpException {
         Slice connection = header("connection");
         if (connection != null) {
             keepAlive = connection.lists("close") ? false : keepAlive || connection.lists("keep-alive");
@@ -155,17 +181,17 @@
         if (chunked && length >= 0) {
             throw new HttpException(400, "conflicting lengths");
         }
-        if (length > MAX_BODY) {
-            throw new HttpException(413, "the body is longer than " + MAX_BODY + " bytes");
+        if (length > maxBody) {
+            throw tooLong(length);
         }
         if (chunked) {
-            return chunks(from, to);
+            return chunks(message, from, to);
         }
         if (length < 0 && !request && status != 204 && status != 304 && status != 202 && status >= 200) {
             untilClose = true;
             length = to - from;
-            if (length > MAX_BODY) {
-                throw new HttpException(413, "the body is longer than " + MAX_BODY + " bytes");
+            if (length > maxBody) {
+                throw tooLong(length);
             }
         }
         if (length < 0 && !request && status == 202) {
@@ -179,14 +205,17 @@
         return from + size;
     }
 
+    private HttpException tooLong(long length) {
+        return new HttpException(413, "a body of " + length + " bytes or more; " + maxBody + " is the most");
+    }
+
     /** Finds the end of a chunked body, and only then draws the chunks together in place. */
-    private int chunks(int from, int to) throws HttpException {
-        int at = from;
-        int total = 0;
+    private int chunks(int message, int from, int to) throws HttpException {
+        int at = Math.max(from, message + nextChunk);
         while (true) {
             int line = find('\n', at, to);
             if (line < 0) {
-                if (to - at > 1024) {
+                if (to - at > MAX_CHUNK_LINE) {
                     throw new HttpException(400, "a malformed chunk");
                 }
                 return -1;
@@ -195,23 +224,35 @@
                 throw new HttpException(400, "a malformed chunk");
             }
             int size = chunkSize(at, line);
-            total += size;
-            if (total > MAX_BODY || line + 1 - from - total > 8 * 1024) {
-                throw new HttpException(413, "the body is longer than " + MAX_BODY + " bytes");
+            int total = chunkedLength + size;
+            if (total > maxBody) {
+                throw tooLong(total);
+            }
+            int frames = line + 1 - from - total;
+            if (frames > maxBody / FRAME_SHARE) {
+                throw new HttpException(413, "chunks whose frames take " + frames + " bytes or more; "
+                    + maxBody / FRAME_SHARE + " is the most");
             }
-            at = line + 1;
             if (size == 0) {
-                break;
+                return trailers(from, line + 1, to);
             }
-            if (to - at < size + 2) {
+            int end = line + 1 + size;
+            if (to - end < 2) {
                 return -1;
             }
-            if (b[at + size] != '\r' || b[at + size + 1] != '\n') {
+            if (b[end] != '\r' || b[end + 1] != '\n') {
                 throw new HttpException(400, "a malformed chunk");
             }
-            at += size + 2;
+            at = end + 2;
+            nextChunk = at - message;
+            chunkedLength = total;
         }
-        while (true) { // trailers are passed over
+    }
+
+    /** Passes over the trailers; the chunks, which begin at {@code from}, have all come. */
+    private int trailers(int from, int trailer, int to) throws HttpException {
+        int at = trailer;
+        for (boolean last = false; !last;) {
             int line = find('\n', at, to);
             if (line < 0) {
                 return -1;
@@ -219,12 +260,14 @@
             if (line == at || b[line - 1] != '\r') {
                 throw new HttpException(400, "a malformed trailer");
             }
-            boolean last = line - at == 1;
+            last = line - at == 1;
             at = line + 1;
-            if (last) {
-                break;
-            }
         }
+        joinChunks(from, to);
+        return at;
+    }
+
+    private void joinChunks(int from, int to) throws HttpException {
         int read = from;
         int write = from;
         for (int size; (size = chunkSize(read, find('\n', read, to))) > 0;) {
@@ -233,8 +276,7 @@
             write += size;
             read = data + size + 2;
         }
-        body = new Slice(b, from, total);
-        return at;
+        body = new Slice(b, from, chunkedLength);
     }
 
     private int chunkSize(int at, int line) throws HttpException {
--- /dev/null
+++ b/src/main/java/beechseam/load/ListIntake.java
@@ -0,0 +1,124 @@
+package beechseam.load;
+
+import beechseam.Dispatching.ListForm;
+import beechseam.Dispatching.Worker;
+import beechseam.config.Json;
+import beechseam.config.MemberList;
+import beechseam.config.ModuleOptions;
+import beechseam.core.Counters;
+import beechseam.core.Egress;
+import beechseam.core.Engine;
+import beechseam.core.Hop;
+import beechseam.net.TimerQueue;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures what one whole list of discovery costs a node, by the number of servers: reading the text, and
+ * taking it into the route table and the decision module.
+ */
+public final class ListIntake {
+    private static final int WARM_UP_LISTS = 30;
+    private static final String SETTINGS = "{\"Classes\":[{\"Name\":\"c\",\"AimNs\":100000000,"
+        + "\"DeadlineNs\":1000000000,\"Effect\":\"read_like\"}]}";
+
+    /**
+     * The figures of one size.
+     *
+     * @param servers entries of the list
+     * @param bytes length of its text
+     * @param readUs microseconds to read the text, median
+     * @param takeUs microseconds to take the entries in, median
+     */
+    public record Figures(int servers, int bytes, double readUs, double takeUs) {
+        /** Microseconds for each server, in all. */
+        public double usPerServer() {
+            return (readUs + takeUs) / servers;
+        }
+
+        /** One row of a table. */
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%7d %9d %10.0f %10.0f %10.2f", servers, bytes, readUs, takeUs,
+                usPerServer());
+        }
+    }
+
+    private ListIntake() {
+    }
+
+    /** Takes in {@code lists} whole lists of so many servers, after some that are not counted. */
+    public static Figures measure(int servers, int lists) throws IOException {
+        Engine engine = engine();
+        byte[] text = list(servers);
+        Histogram reading = new Histogram(3);
+        Histogram taking = new Histogram(3);
+        for (int i = -WARM_UP_LISTS; i < lists; i++) {
+            long start = System.nanoTime();
+            MemberList list = MemberList.of((Map<?, ?>) Json.parse(text, 0, text.length), why -> { });
+            long read = System.nanoTime();
+            engine.routes(ListForm.FULL, workers(list));
+            long taken = System.nanoTime();
+            if (i >= 0) {
+                reading.recordValue(read - start);
+                taking.recordValue(taken - read);
+            }
+        }
+        return new Figures(servers, text.length, medianUs(reading), medianUs(taking));
+    }
+
+    private static double medianUs(Histogram times) {
+        return times.getValueAtPercentile(50) / (double) TimeUnit.MICROSECONDS.toNanos(1);
+    }
+
+    private static Engine engine() throws IOException {
+        byte[] settings = SETTINGS.getBytes(StandardCharsets.UTF_8);
+        ModuleOptions options = ModuleOptions.of((Map<?, ?>) Json.parse(settings, 0, settings.length));
+        return new Engine(options.settings, 1, System::nanoTime, new TimerQueue(), new NoEgress(),
+            new Counters());
+    }
+
+    private static byte[] list(int servers) {
+        StringBuilder text = new StringBuilder("{\"version\":1,\"full\":true,\"servers\":[");
+        for (int i = 0; i < servers; i++) {
+            text.append(i == 0 ? "" : ",").append(String.format(Locale.ROOT,
+                "{\"id\":\"s-%08x\",\"addr\":\"127.0.%d.%d:8081\",\"zone\":\"z%d\",\"kind\":\"k%d\","
+                    + "\"cell\":%d,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}",
+                i + 1, i / 250, i % 250 + 1, i % 7, i % 3, i % 40));
+        }
+        return text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static List<Worker> workers(MemberList list) {
+        List<Worker> workers = new ArrayList<>(list.servers().size());
+        for (MemberList.Server each : list.servers()) {
+            workers.add(new Worker(Long.parseLong(each.id().substring(2), 16), each.cell(), each.zone(),
+                each.kind(), TimeUnit.MILLISECONDS.toNanos(each.startedMs()), each.state(), each.weight()));
+        }
+        return workers;
+    }
+
+    /** No request is taken, so nothing is sent. */
+    private static final class NoEgress implements Egress {
+        @Override
+        public void send(Hop hop) {
+            throw new IllegalStateException("nothing to send");
+        }
+
+        @Override
+        public void cancel(Hop hop) {
+            throw new IllegalStateException("nothing to cancel");
+        }
+
+        @Override
+        public void probe(long target) {
+            // The module may probe as soon as it knows a server; nobody answers.
+        }
+    }
+}
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -392,7 +392,11 @@
         if (closed) {
             return;
         }
-        in.compact();
+        if (in.position() == 0 && in.hasRemaining()) { // nothing was used: no need to move what may be much
+            in.position(in.limit()).limit(in.capacity());
+        } else {
+            in.compact();
+        }
         if (in.position() == 0) {
             loop.buffers.give(in);
             in = null;
--- a/src/main/java/beechseam/ops/Link.java
+++ b/src/main/java/beechseam/ops/Link.java
@@ -49,6 +49,8 @@
     private static final Logger LOG = System.getLogger(Link.class.getName());
     private static final int MOST_FRAME = 128 * 1024;
     private static final int HEAD = 5;
+    /** The most bytes that a piece of what was learned may have. */
+    public static final int MOST_PIECE = MOST_FRAME - HEAD;
 
     private final EventLoop loop;
     private final Process process;
@@ -143,6 +145,8 @@
         boolean welcomed;
         boolean ready;
         boolean seen;
+        /** What this process hands over at once may wait to be read, whatever its size. */
+        private long handedOver;
 
         Line(SocketChannel channel, boolean elder) throws IOException {
             super(Link.this.loop, channel, MOST_FRAME);
@@ -150,12 +154,20 @@
             lines.add(this);
             if (!elder) {
                 process.state().forEach(each -> send(Kind.CALL, each));
-                process.learned().forEach(each -> send(Kind.LEARNED, each, 0, each.length));
+                for (byte[] each : process.learned()) {
+                    handedOver += HEAD + each.length;
+                    send(Kind.LEARNED, each, 0, each.length);
+                }
                 send(Kind.WELCOME);
                 process.linked();
             }
         }
 
+        @Override
+        protected long mostWaiting() {
+            return handedOver + super.mostWaiting();
+        }
+
         void send(Kind kind) {
             send(kind, "");
         }
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -34,6 +34,9 @@
     private static final long LEAST_WAIT_MS = 1;
     /** So often at most the configuration is looked at again; far less than what a moved address is given. */
     private static final long LOOK_NS = 1_000_000_000L;
+    private static final String ENTRIES = "entries";
+    /** The longest list in bytes: some 20,000 entries as discovery writes them, 10,000 of them indented. */
+    static final int MAX_LIST = 4 * 1024 * 1024;
 
     private final EventLoop loop;
     private final Engine engine;
@@ -44,6 +47,8 @@
     private String host;
     private PlatformNode.Configuration lookup;
     private long lookedAt;
+    /** Complaints of lists that have been logged since the last one that could be used. */
+    private final Set<String> complaints = new HashSet<>();
 
     /** {@code drainGraceNs}: see {@link ListWatch}. */
     Discovery(EventLoop loop, InetSocketAddress address, String host, Engine engine, EgressPool pool,
@@ -140,6 +145,11 @@
         LOG.log(first ? Level.INFO : Level.DEBUG, "discovery: " + why + "; asking again");
     }
 
+    /** Logs a list that cannot be used, or not all of it, once for each {@code cause}. */
+    private void complain(String cause, String what) {
+        LOG.log(complaints.add(cause) ? Level.WARNING : Level.DEBUG, "discovery: " + what);
+    }
+
     @Override
     public boolean readUnread(ListWatch.Call call) {
         boolean any = false;
@@ -169,6 +179,12 @@
                 pool.put(id, s.addr(), s.address());
             }
         }
+        for (String each : list.unusable()) { // what is held of it stays
+            Worker held = engine.routes().listed(Wire.target(each));
+            if (held != null && named.add(held.id())) {
+                lines.add(held);
+            }
+        }
         engine.routes(form, lines);
         if (form != ListForm.CHANGES) {
             pool.retain(named);
@@ -179,11 +195,13 @@
 
     /** A connection to discovery, with one call out or none. */
     private final class Line extends Connection {
-        private final HttpParser parser = new HttpParser(false);
+        private final HttpParser parser = new HttpParser(false, MAX_LIST);
         private ListWatch.Call call;
+        /** Some entries of the list read last made no sense. */
+        private boolean partly;
 
         Line() throws IOException {
-            super(Discovery.this.loop, null, HttpParser.MAX_MESSAGE);
+            super(Discovery.this.loop, null, HttpParser.maxMessage(MAX_LIST));
         }
 
         void ask(ListWatch.Call next) {
@@ -199,6 +217,9 @@
 
         @Override
         protected void received(ByteBuffer in) {
+            if (call != null) {
+                watch.heard(call);
+            }
             try {
                 while (in.hasRemaining() && !closed()) {
                     if (call == null) { // an answer to nothing: its frame is lost
@@ -210,7 +231,7 @@
                     }
                 }
             } catch (HttpException e) {
-                broken(e.getMessage());
+                unusable("status " + e.status, e.getMessage());
             }
         }
 
@@ -220,25 +241,40 @@
                 close();
             }
             if (parser.status() != 200) {
-                broken("status " + parser.status());
+                unusable("answer " + parser.status(), "status " + parser.status());
                 return;
             }
             MemberList list;
             try {
-                Object tree = Json.parse(parser.body().bytes(), parser.body().from(), parser.body().length());
-                if (!(tree instanceof Map<?, ?> map)) {
-                    throw new IOException("not an object");
-                }
-                list = MemberList.of(map, why -> LOG.log(Level.WARNING, "discovery: " + why));
+                list = read();
             } catch (IOException e) {
-                broken("an answer that is no list: " + e.getMessage());
+                unusable("content", "an answer of " + parser.body().length() + " bytes that is no list: "
+                    + e.getMessage().lines().findFirst().orElse(""));
                 return;
             }
+            complaints.removeIf(each -> !each.equals(ENTRIES) || !partly);
             ListWatch.Call done = call;
             call = null;
             watch.answered(done, list);
         }
 
+        private MemberList read() throws IOException {
+            Object tree = Json.parse(parser.body().bytes(), parser.body().from(), parser.body().length());
+            if (!(tree instanceof Map<?, ?> map)) {
+                throw new IOException("not an object");
+            }
+            partly = false;
+            return MemberList.of(map, what -> {
+                partly = true;
+                complain(ENTRIES, what);
+            });
+        }
+
+        private void unusable(String cause, String why) {
+            complain(cause, why + "; the list as held stays");
+            broken(why);
+        }
+
         private void broken(String why) {
             ListWatch.Call failed = call;
             call = null;
--- a/src/main/java/beechseam/platform/ListWatch.java
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -58,6 +58,9 @@
         final long after;
         final long waitNs;
         private final long askedAt;
+        /** When the first and the last bytes of its answer came; 0 before the first. */
+        private long firstHeardAt;
+        private long lastHeardAt;
         /** What the wire keeps of it. */
         Object line;
 
@@ -67,8 +70,9 @@
             askedAt = now;
         }
 
+        /** An answer that goes on coming is waited for, however long the list is. */
         private boolean givenUp(long now) {
-            return now >= askedAt + waitNs + ANSWER_NS;
+            return now >= Math.max(askedAt + waitNs, lastHeardAt) + ANSWER_NS;
         }
 
         /** A watch answered with nothing, long before its time: made again at once it would be all we do. */
@@ -94,6 +98,7 @@
     private boolean well;
     private boolean held;
     private boolean stopped;
+    private boolean failing;
     private long version;
     private final RouteTableFreshness freshness;
 
@@ -171,7 +176,8 @@
         whole = true;
         held = true;
         wire.take(list, changes ? ListForm.CHANGES : ListForm.FULL);
-        well = freshness.answered(call.askedAt); // a call after a late answer may not wait
+        failing = false;
+        well = freshness.answered(call.askedAt, call.firstHeardAt); // a call after a late answer may not wait
         if (changes && call.waitedNot(list, clock.getAsLong())) {
             failed("a watch that does not wait");
         } else {
@@ -179,6 +185,12 @@
         }
     }
 
+    /** Bytes of the call's answer have come; it may not be whole yet. */
+    void heard(Call call) {
+        call.lastHeardAt = clock.getAsLong();
+        call.firstHeardAt = call.firstHeardAt == 0 ? call.lastHeardAt : call.firstHeardAt;
+    }
+
     void failed(Call call, String why) {
         if (out.remove(call)) {
             failed(why);
@@ -186,17 +198,21 @@
     }
 
     private void failed(String why) {
-        wire.failed(why, well);
-        well = false;
+        tellFailure(why);
         long next = clock.getAsLong() + pauseNs; // not at once: some refuse at once, however often
         if (!stopped && (!doubt.armed() || doubt.due() > next)) {
             timers.set(doubt, next);
         }
     }
 
-    private void overdue() {
-        wire.failed("no answer", well);
+    private void tellFailure(String why) {
+        wire.failed(why, !failing);
+        failing = true;
         well = false;
+    }
+
+    private void overdue() {
+        tellFailure("no answer");
         long now = clock.getAsLong();
         for (Call each : List.copyOf(out)) {
             if (each.givenUp(now)) {
@@ -211,16 +227,23 @@
         if (stopped) {
             return;
         }
+        long now = clock.getAsLong();
         if (out.size() == MOST_OUT) {
-            wire.hangUp(out.pollFirst());
+            Call dropped = leastUseful();
+            out.remove(dropped);
+            wire.hangUp(dropped);
         }
-        long now = clock.getAsLong();
         Call call = new Call(whole ? version : -1, whole && well ? WAIT_NS : 0, now);
         out.add(call);
         timers.set(doubt, now + call.waitNs + pauseNs);
         wire.ask(call, before);
     }
 
+    /** The oldest call that hears nothing, or the youngest: a long list needs time to come. */
+    private Call leastUseful() {
+        return out.stream().filter(each -> each.lastHeardAt == 0).findFirst().orElse(out.peekLast());
+    }
+
     private void hangUp() {
         List.copyOf(out).forEach(wire::hangUp);
         out.clear();
--- a/src/main/java/beechseam/platform/RouteTableFreshness.java
+++ b/src/main/java/beechseam/platform/RouteTableFreshness.java
@@ -115,12 +115,15 @@
     }
 
     /**
-     * Discovery has answered a call made at {@code askedAt}. False where the answer may have lain unread for
-     * longer than the stall limit: it does not confirm the table then, and discovery is to be asked again.
+     * Discovery has answered a call made at {@code askedAt}; the first bytes were read at {@code heardAt}, or
+     * 0 where the answer came in one piece. False where the answer may be older than the stall limit, since
+     * it lay unread or took long to come: it does not confirm the table, and discovery is to be asked again.
      */
-    boolean answered(long askedAt) {
+    boolean answered(long askedAt, long heardAt) {
         long now = clock.getAsLong();
-        boolean inTime = Math.min(now - askedAt, now - checkedAt) <= stallNs;
+        long unreadNs = Math.min(now - askedAt, now - checkedAt);
+        long arrivalNs = heardAt == 0 ? 0 : now - heardAt;
+        boolean inTime = Math.max(unreadNs, arrivalNs) <= stallNs;
         if (inTime && confirms(askedAt)) {
             enter(State.CONFIRMED);
             return true;
--- a/src/main/java/beechseam/platform/Succession.java
+++ b/src/main/java/beechseam/platform/Succession.java
@@ -24,8 +24,10 @@
     /** So long the elder may take to note that it has a successor. */
     private static final long NOTE_NS = 1_000_000_000L;
 
-    /** So many figures' names go into one frame. */
-    private static final int PIECE = 256;
+    /** Pieces are filled up to this part of a frame, since the estimate of their size is rough. */
+    private static final int PIECE_BYTES = Link.MOST_PIECE / 2;
+    /** A figure as JSON, with its comma. */
+    private static final int FIGURE_BYTES = 25;
 
     private final PlatformNode node;
     private final Link link;
@@ -121,13 +123,22 @@
 
     @Override
     public Iterable<byte[]> learned() {
+        return pieces(node.engine.handOver());
+    }
+
+    /** The figures by name as JSON, in as many pieces as frames of the link need. */
+    static List<byte[]> pieces(Map<String, double[]> learned) {
         List<byte[]> pieces = new ArrayList<>();
         Map<String, double[]> piece = new LinkedHashMap<>();
-        for (Map.Entry<String, double[]> each : node.engine.handOver().entrySet()) {
-            piece.put(each.getKey(), each.getValue());
-            if (piece.size() == PIECE) {
+        int bytes = 0;
+        for (Map.Entry<String, double[]> each : learned.entrySet()) {
+            int more = each.getKey().length() + FIGURE_BYTES * (each.getValue().length + 1);
+            if (bytes + more > PIECE_BYTES) {
                 add(pieces, piece);
+                bytes = 0;
             }
+            piece.put(each.getKey(), each.getValue());
+            bytes += more;
         }
         add(pieces, piece);
         return pieces;
@@ -135,7 +146,12 @@
 
     private static void add(List<byte[]> pieces, Map<String, double[]> piece) {
         try {
-            pieces.add(Json.bytes(piece));
+            byte[] text = Json.bytes(piece);
+            if (text.length <= Link.MOST_PIECE) {
+                pieces.add(text);
+            } else {
+                LOG.log(Level.WARNING, "not handed over, too long: " + piece.keySet());
+            }
         } catch (IOException e) {
             LOG.log(Level.WARNING, "what was learned cannot be told: " + e.getMessage());
         }
--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -53,6 +53,8 @@
             "load-gearman")) {
             assertTrue(said(0, each, "--help").contains("--help"), each);
         }
+        assertEquals(3, said(0, "measure-lists", "5", "50", "--lists", "2").lines().count());
+        assertTrue(said(2, "measure-lists", "0").contains("SERVERS: must be from 1 to "));
         assertTrue(said(2, "conformance", "192.0.2.1:4730").contains("no loopback address"));
         assertTrue(said(2, "conformance", "127.0.0.1").contains("HOST:PORT: must be"));
         assertTrue(said(2, "conformance", "127.0.0.1:1", "--only", "no such case").contains("no case has"));
--- /dev/null
+++ b/src/test/java/beechseam/ops/LinkTest.java
@@ -0,0 +1,74 @@
+package beechseam.ops;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import beechseam.Loopback;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The link between two processes of a node, at the size that a large fleet makes of what they hand over. */
+class LinkTest {
+    private static final int PIECES = 40;
+
+    private final Loopback net = new Loopback();
+
+    /** Notes what it is told, and hands over pieces of the longest frames. */
+    private static final class End implements Link.Process {
+        private final List<Integer> recalled = new ArrayList<>();
+
+        @Override
+        public Iterable<String> state() {
+            return List.of();
+        }
+
+        @Override
+        public Iterable<byte[]> learned() {
+            List<byte[]> pieces = new ArrayList<>();
+            for (int i = 0; i < PIECES; i++) {
+                pieces.add(new byte[Link.MOST_PIECE]);
+            }
+            return pieces;
+        }
+
+        @Override
+        public void recall(ByteBuffer piece) {
+            recalled.add(piece.remaining());
+        }
+
+        @Override
+        public void call(String line) {
+        }
+
+        @Override
+        public void event(ByteBuffer body) {
+        }
+
+        @Override
+        public void linked() {
+        }
+    }
+
+    @AfterEach
+    void close() {
+        net.close();
+    }
+
+    /** All of it waits at once for a process that has not read a byte yet: 5 MB here. */
+    @Test
+    void whatIsHandedOverMayBeOfAnySize(@TempDir Path directory) {
+        Link elder = new Link(net.loop, directory, "n", new End());
+        End younger = new End();
+        Link link = new Link(net.loop, directory, "n", younger);
+        net.until("the welcome", () -> !link.unwelcomed());
+        assertEquals(PIECES, younger.recalled.size());
+        assertTrue(younger.recalled.stream().allMatch(each -> each == Link.MOST_PIECE));
+        assertEquals(1, link.others());
+        elder.close();
+        link.close();
+    }
+}
