--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/beechseam/Dispatching.java
+++ b/src/main/java/beechseam/Dispatching.java
@@ -33,6 +33,7 @@
     /** Where load reports come from. */
     public enum Reports { ANSWERS, PROBES, NONE }
 
+    /** What discovery says of a worker: it takes work, it takes nothing new, or it is not listed any more. */
     public enum State { READY, DRAINING, GONE }
 
     /** A list: only what changed, all there is, the one held before a restart, or word of a failed call. */
--- a/src/main/java/beechseam/fleet/membership/Message.java
+++ b/src/main/java/beechseam/fleet/membership/Message.java
@@ -18,6 +18,7 @@
         implements Message {
     }
 
+    /** The answer to a ping, or to a request for one: the target is there. */
     record Ack(long sequence, List<Standing> news) implements Message {
     }
 
--- a/src/main/java/beechseam/ops/Door.java
+++ b/src/main/java/beechseam/ops/AdminEndpoint.java
@@ -15,7 +15,7 @@
 import java.util.Set;
 
 /** The door for operators: a connection brings one line, gets one answer and is closed. */
-public final class Door {
+public final class AdminEndpoint {
     private static final List<String> CALLS = List.of("status", "stats", "maint-on", "maint-off", "standby",
         "active");
     private static final int MOST_CALLERS = 16;
@@ -29,7 +29,7 @@
     private final Listener listener;
     private final Set<Call> calls = new LinkedHashSet<>();
 
-    public Door(EventLoop loop, SocketAddress at, Operations operations) throws IOException {
+    public AdminEndpoint(EventLoop loop, SocketAddress at, Operations operations) throws IOException {
         this.loop = loop;
         this.operations = operations;
         listener = new Listener(loop, at, this::accept);
@@ -83,7 +83,7 @@
         };
 
         Call(SocketChannel channel) throws IOException {
-            super(Door.this.loop, channel, MOST_LINE);
+            super(AdminEndpoint.this.loop, channel, MOST_LINE);
             loop.timers.set(patience, loop.now() + CALL_NS);
         }
 
--- a/src/main/java/beechseam/ops/Link.java
+++ b/src/main/java/beechseam/ops/HandoverLink.java
@@ -22,7 +22,7 @@
  * its own in the node's directory; the younger dials. Where the path is too long for a socket, the process
  * stands alone.
  */
-public final class Link {
+public final class HandoverLink {
     /** What the link asks and tells of the process it serves. */
     public interface Process {
         /** Operators' calls that bring a younger process to this one's state. */
@@ -46,7 +46,7 @@
 
     private enum Kind { LEARNED, WELCOME, READY, SEEN, CALL, EVENT }
 
-    private static final Logger LOG = System.getLogger(Link.class.getName());
+    private static final Logger LOG = System.getLogger(HandoverLink.class.getName());
     private static final int MOST_FRAME = 128 * 1024;
     private static final int HEAD = 5;
     /** The most bytes that a piece of what was learned may have. */
@@ -59,7 +59,7 @@
     private Path own;
 
     /** {@code node}, a plain word, tells apart nodes in one directory: only processes of one are linked. */
-    public Link(EventLoop loop, Path directory, String node, Process process) {
+    public HandoverLink(EventLoop loop, Path directory, String node, Process process) {
         this.loop = loop;
         this.process = process;
         String prefix = "beechseam-" + node + "-";
@@ -149,7 +149,7 @@
         private long handedOver;
 
         Line(SocketChannel channel, boolean elder) throws IOException {
-            super(Link.this.loop, channel, MOST_FRAME);
+            super(HandoverLink.this.loop, channel, MOST_FRAME);
             this.elder = elder;
             lines.add(this);
             if (!elder) {
--- a/src/main/java/beechseam/ops/Kept.java
+++ b/src/main/java/beechseam/ops/MaintenanceFile.java
@@ -14,13 +14,13 @@
 import java.util.Map;
 
 /** What operators said of executors and a new process must know: a file, written aside and moved. */
-public final class Kept {
-    private static final Logger LOG = System.getLogger(Kept.class.getName());
+public final class MaintenanceFile {
+    private static final Logger LOG = System.getLogger(MaintenanceFile.class.getName());
 
     private final Path file;
 
     /** {@code node} tells apart the nodes that share the directory. */
-    public Kept(Path directory, String node) {
+    public MaintenanceFile(Path directory, String node) {
         file = directory.resolve("beechseam-" + node + "-maintenance.json");
     }
 
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -28,12 +28,12 @@
  * Keeps the route table up to date from discovery's lists. While discovery is silent the node serves by what
  * it holds. The address may change meanwhile. When to ask what is {@link ListWatch}'s to decide.
  */
-final class Discovery implements ListWatch.Wire {
+final class Discovery implements ListWatch.Transport {
     private static final Logger LOG = System.getLogger(Discovery.class.getName());
     /** A call that may not wait says so: news is there, or there is none. */
     private static final long LEAST_WAIT_MS = 1;
     /** So often at most the configuration is looked at again; far less than what a moved address is given. */
-    private static final long LOOK_NS = 1_000_000_000L;
+    private static final long REREAD_INTERVAL_NS = 1_000_000_000L;
     private static final String ENTRIES = "entries";
     /** The longest list in bytes: some 20,000 entries as discovery writes them, 10,000 of them indented. */
     static final int MAX_LIST = 4 * 1024 * 1024;
@@ -45,8 +45,8 @@
     private final ListWatch watch;
     private InetSocketAddress address;
     private String host;
-    private PlatformNode.Configuration lookup;
-    private long lookedAt;
+    private PlatformNode.Configuration configuration;
+    private long rereadAt;
     /** Complaints of lists that have been logged since the last one that could be used. */
     private final Set<String> complaints = new HashSet<>();
 
@@ -99,8 +99,8 @@
     }
 
     /** Where the address may be looked up again, when nobody is at the one that this node was told of. */
-    void lookup(PlatformNode.Configuration theLookup) {
-        lookup = theLookup;
+    void configuration(PlatformNode.Configuration theConfiguration) {
+        configuration = theConfiguration;
     }
 
     /**
@@ -108,13 +108,13 @@
      * finds a process that has read its file and is not up yet, or a file that is only half written; asking
      * at the old address would then go on for good.
      */
-    private void lookAgain() {
-        if (lookup == null || loop.now() - lookedAt < LOOK_NS) {
+    private void rereadAddress() {
+        if (configuration == null || loop.now() - rereadAt < REREAD_INTERVAL_NS) {
             return;
         }
-        lookedAt = loop.now();
+        rereadAt = loop.now();
         try {
-            NodeConfig now = lookup.read();
+            NodeConfig now = configuration.read();
             move(now.discovery(), now.discoveryHost());
         } catch (ConfigException e) {
             LOG.log(Level.WARNING, "discovery is not at " + host + ", and " + e.getMessage());
@@ -123,20 +123,20 @@
 
     @Override
     public void ask(ListWatch.Call call, ListWatch.Call before) {
-        Line open = before == null ? null : (Line) before.line;
+        AgentConnection open = before == null ? null : (AgentConnection) before.connection;
         try {
-            Line line = open != null && !open.closed() ? open : new Line();
-            call.line = line;
-            line.ask(call);
+            AgentConnection connection = open != null && !open.closed() ? open : new AgentConnection();
+            call.connection = connection;
+            connection.ask(call);
         } catch (IOException e) { // out of descriptors
             watch.failed(call, e.getMessage());
         }
     }
 
     @Override
-    public void hangUp(ListWatch.Call call) {
-        if (call.line instanceof Line line) {
-            line.close();
+    public void cancel(ListWatch.Call call) {
+        if (call.connection instanceof AgentConnection connection) {
+            connection.close();
         }
     }
 
@@ -153,8 +153,8 @@
     @Override
     public boolean readUnread(ListWatch.Call call) {
         boolean any = false;
-        if (call.line instanceof Line line) {
-            while (line.call == call && line.catchUp()) {
+        if (call.connection instanceof AgentConnection connection) {
+            while (connection.call == call && connection.catchUp()) {
                 any = true;
             }
         }
@@ -194,13 +194,13 @@
     }
 
     /** A connection to discovery, with one call out or none. */
-    private final class Line extends Connection {
+    private final class AgentConnection extends Connection {
         private final HttpParser parser = new HttpParser(false, MAX_LIST);
         private ListWatch.Call call;
         /** Some entries of the list read last made no sense. */
         private boolean partly;
 
-        Line() throws IOException {
+        AgentConnection() throws IOException {
             super(Discovery.this.loop, null, HttpParser.maxMessage(MAX_LIST));
         }
 
@@ -272,10 +272,10 @@
 
         private void unusable(String cause, String why) {
             complain(cause, why + "; the list as held stays");
-            broken(why);
+            callFailed(why);
         }
 
-        private void broken(String why) {
+        private void callFailed(String why) {
             ListWatch.Call failed = call;
             call = null;
             close();
@@ -286,8 +286,8 @@
 
         @Override
         protected void lost(IOException why) {
-            broken(why.getMessage());
-            lookAgain();
+            callFailed(why.getMessage());
+            rereadAddress();
         }
     }
 }
--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -137,7 +137,7 @@
             now = null;
             broken.connection = null;
             if (begun && stoodIdleNs > 0) {
-                pool.wentStale(target, stoodIdleNs);
+                pool.shortenIdleTimeout(target, stoodIdleNs);
             }
             // Before its last byte has gone nothing can have run; after that it may have.
             broken.broken(!begun || unwritten() > 0);
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -195,7 +195,7 @@
      * A connection that had stood idle broke at its next request, which may have run for all that is known:
      * those that stand so long are not used again, but closed in favour of new ones.
      */
-    void wentStale(Target t, long stoodIdleNs) {
+    void shortenIdleTimeout(Target t, long stoodIdleNs) {
         if (stoodIdleNs >= LEAST_KEPT_NS) {
             t.keepIdleNs = Math.max(LEAST_KEPT_NS, Math.min(t.keepIdleNs, stoodIdleNs * 3 / 4));
             t.staleAt = loop.now();
--- a/src/main/java/beechseam/platform/ListWatch.java
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -12,36 +12,36 @@
  * Which calls discovery gets, and when; it knows no wire. The whole list once, then one watch after the other
  * without a gap.
  *
- * <p>A change counts as told {@link #TOLD_NS} after discovery had it and could be reached, whatever has
- * failed, and at once where discovery comes back from a silence. All times here are made of these two. A
- * watch waits for a third of the term, so a silent one is noticed with most of it left. From the first doubt
- * on a call is made every half drain grace, none of which may wait, each on a connection of its own and
- * beside those not answered yet (a hedged request): the first answer ends them all. No pause grows: the
- * address is an agent's on this machine, which answers at no cost, and a longer pause could outlast its
- * silence.
+ * <p>A change counts as told {@link #PROPAGATION_LIMIT_NS} after discovery had it and could be reached,
+ * whatever has failed, and at once where discovery comes back from a silence. All times here are made of
+ * these two. A watch waits for a third of the limit, so a silent one is noticed with most of it left. From
+ * the first failure on a call is made every half drain grace, none of which may wait, each on a connection
+ * of its own and beside those not answered yet (a hedged request): the first answer ends them all. The
+ * interval does not grow: the address is an agent's on this machine, which answers at no cost, and a longer
+ * interval could outlast its silence.
  */
 final class ListWatch {
     /** The platform's term: news counts as told so long after discovery had it and could be reached. */
-    static final long TOLD_NS = 6_000_000_000L;
-    static final long WAIT_NS = TOLD_NS / 3;
+    static final long PROPAGATION_LIMIT_NS = 6_000_000_000L;
+    static final long WATCH_WAIT_NS = PROPAGATION_LIMIT_NS / 3;
     /** An answer that is due may be late by so much, and still be the first. */
-    static final long ANSWER_NS = TOLD_NS / 6;
+    static final long ANSWER_TIMEOUT_NS = PROPAGATION_LIMIT_NS / 6;
     /** No deployment's grace makes the calls denser than this, and none makes them rarer. */
-    static final long LEAST_PAUSE_NS = 50_000_000L;
-    static final long MOST_PAUSE_NS = TOLD_NS / 24;
+    static final long MIN_RETRY_INTERVAL_NS = 50_000_000L;
+    static final long MAX_RETRY_INTERVAL_NS = PROPAGATION_LIMIT_NS / 24;
     /** Calls out at a time; each may hold a descriptor. */
-    static final int MOST_OUT = 8;
+    static final int MAX_PENDING_CALLS = 8;
 
     /** What carries the calls. */
-    interface Wire {
+    interface Transport {
         /**
          * Makes the call; {@code before} was answered in this turn and leaves its connection, or is null.
-         * Owes {@link #answered} or {@link #failed} once, at once or later, unless it is hung up.
+         * Owes {@link #answered} or {@link #failed} once, at once or later, unless it is cancelled.
          */
         void ask(Call call, Call before);
 
         /** The call's answer is not wanted any more. */
-        void hangUp(Call call);
+        void cancel(Call call);
 
         /** A list, or what has changed in it. */
         void take(MemberList list, ListForm form);
@@ -61,8 +61,8 @@
         /** When the first and the last bytes of its answer came; 0 before the first. */
         private long firstHeardAt;
         private long lastHeardAt;
-        /** What the wire keeps of it. */
-        Object line;
+        /** What the transport keeps of it. */
+        Object connection;
 
         private Call(long after, long waitNs, long now) {
             this.after = after;
@@ -71,31 +71,31 @@
         }
 
         /** An answer that goes on coming is waited for, however long the list is. */
-        private boolean givenUp(long now) {
-            return now >= Math.max(askedAt + waitNs, lastHeardAt) + ANSWER_NS;
+        private boolean isOverdue(long now) {
+            return now >= Math.max(askedAt + waitNs, lastHeardAt) + ANSWER_TIMEOUT_NS;
         }
 
         /** A watch answered with nothing, long before its time: made again at once it would be all we do. */
-        private boolean waitedNot(MemberList list, long now) {
+        private boolean answeredWithoutWaiting(MemberList list, long now) {
             return list.version() == after && list.servers().isEmpty() && now < askedAt + waitNs / 2;
         }
     }
 
     private final LongSupplier clock;
     private final Timers timers;
-    private final Wire wire;
-    private final long pauseNs;
-    private final ArrayDeque<Call> out = new ArrayDeque<>();
-    private final Timer doubt = new Timer() {
+    private final Transport transport;
+    private final long retryIntervalNs;
+    private final ArrayDeque<Call> pending = new ArrayDeque<>();
+    private final Timer retryTimer = new Timer() {
         @Override
         protected void fire() {
             overdue();
         }
     };
     /** The whole list has come from this address: only then do its versions and ours mean the same. */
-    private boolean whole;
+    private boolean hasFullList;
     /** The last call was answered: the next may wait. */
-    private boolean well;
+    private boolean healthy;
     private boolean held;
     private boolean stopped;
     private boolean failing;
@@ -103,13 +103,13 @@
     private final RouteTableFreshness freshness;
 
     /** {@code drainGraceNs}: what the rules give between the news of a drain and the last send. */
-    ListWatch(LongSupplier clock, Timers timers, long drainGraceNs, Wire wire) {
+    ListWatch(LongSupplier clock, Timers timers, long drainGraceNs, Transport transport) {
         this.clock = clock;
         this.timers = timers;
-        this.wire = wire;
-        pauseNs = Math.max(LEAST_PAUSE_NS, Math.min(MOST_PAUSE_NS, drainGraceNs / 2));
-        freshness = new RouteTableFreshness(clock, timers, pauseNs, ANSWER_NS, this::readUnread,
-            this::recheck);
+        this.transport = transport;
+        retryIntervalNs = Math.max(MIN_RETRY_INTERVAL_NS, Math.min(MAX_RETRY_INTERVAL_NS, drainGraceNs / 2));
+        freshness = new RouteTableFreshness(clock, timers, retryIntervalNs, ANSWER_TIMEOUT_NS,
+            this::readUnread, this::recheck);
     }
 
     /** Whether the list may be acted on. */
@@ -129,27 +129,27 @@
         return held;
     }
 
-    /** The wire leads elsewhere from now on, where versions may be counted otherwise. */
+    /** The transport leads elsewhere from now on, where versions may be counted otherwise. */
     void moved() {
-        whole = false;
-        well = false;
-        hangUp();
+        hasFullList = false;
+        healthy = false;
+        cancel();
         freshness.moved();
         call(null);
     }
 
     /** What has been told may be old: a call is made that may not wait, beside those that are out. */
     private void recheck() {
-        if (out.stream().noneMatch(each -> each.waitNs == 0 && freshness.confirms(each.askedAt))) {
-            well = false;
+        if (pending.stream().noneMatch(each -> each.waitNs == 0 && freshness.confirms(each.askedAt))) {
+            healthy = false;
             call(null);
         }
     }
 
     private boolean readUnread() {
         boolean any = false;
-        for (Call each : List.copyOf(out)) {
-            any |= out.contains(each) && wire.readUnread(each);
+        for (Call each : List.copyOf(pending)) {
+            any |= pending.contains(each) && transport.readUnread(each);
         }
         return any;
     }
@@ -157,28 +157,29 @@
     void stop() {
         stopped = true;
         freshness.stop();
-        timers.cancel(doubt);
-        hangUp();
+        timers.cancel(retryTimer);
+        cancel();
     }
 
     void answered(Call call, MemberList list) {
-        if (!out.remove(call)) {
+        if (!pending.remove(call)) {
             return;
         }
         boolean changes = !list.full();
         if (changes && list.version() < call.after) {
-            whole = false; // changes to a list that we do not hold
+            hasFullList = false; // changes to a list that we do not hold
             failed("changes up to version " + list.version() + ", asked for those after " + call.after);
             return;
         }
-        hangUp();
+        cancel();
         version = list.version();
-        whole = true;
+        hasFullList = true;
         held = true;
-        wire.take(list, changes ? ListForm.CHANGES : ListForm.FULL);
+        transport.take(list, changes ? ListForm.CHANGES : ListForm.FULL);
         failing = false;
-        well = freshness.answered(call.askedAt, call.firstHeardAt); // a call after a late answer may not wait
-        if (changes && call.waitedNot(list, clock.getAsLong())) {
+        // After an answer that came late the next call may not wait.
+        healthy = freshness.answered(call.askedAt, call.firstHeardAt);
+        if (changes && call.answeredWithoutWaiting(list, clock.getAsLong())) {
             failed("a watch that does not wait");
         } else {
             call(call);
@@ -192,32 +193,32 @@
     }
 
     void failed(Call call, String why) {
-        if (out.remove(call)) {
+        if (pending.remove(call)) {
             failed(why);
         }
     }
 
     private void failed(String why) {
-        tellFailure(why);
-        long next = clock.getAsLong() + pauseNs; // not at once: some refuse at once, however often
-        if (!stopped && (!doubt.armed() || doubt.due() > next)) {
-            timers.set(doubt, next);
+        reportFailure(why);
+        long next = clock.getAsLong() + retryIntervalNs; // not at once: some refuse at once, however often
+        if (!stopped && (!retryTimer.armed() || retryTimer.due() > next)) {
+            timers.set(retryTimer, next);
         }
     }
 
-    private void tellFailure(String why) {
-        wire.failed(why, !failing);
+    private void reportFailure(String why) {
+        transport.failed(why, !failing);
         failing = true;
-        well = false;
+        healthy = false;
     }
 
     private void overdue() {
-        tellFailure("no answer");
+        reportFailure("no answer");
         long now = clock.getAsLong();
-        for (Call each : List.copyOf(out)) {
-            if (each.givenUp(now)) {
-                out.remove(each);
-                wire.hangUp(each);
+        for (Call each : List.copyOf(pending)) {
+            if (each.isOverdue(now)) {
+                pending.remove(each);
+                transport.cancel(each);
             }
         }
         call(null);
@@ -228,24 +229,24 @@
             return;
         }
         long now = clock.getAsLong();
-        if (out.size() == MOST_OUT) {
+        if (pending.size() == MAX_PENDING_CALLS) {
             Call dropped = leastUseful();
-            out.remove(dropped);
-            wire.hangUp(dropped);
+            pending.remove(dropped);
+            transport.cancel(dropped);
         }
-        Call call = new Call(whole ? version : -1, whole && well ? WAIT_NS : 0, now);
-        out.add(call);
-        timers.set(doubt, now + call.waitNs + pauseNs);
-        wire.ask(call, before);
+        Call call = new Call(hasFullList ? version : -1, hasFullList && healthy ? WATCH_WAIT_NS : 0, now);
+        pending.add(call);
+        timers.set(retryTimer, now + call.waitNs + retryIntervalNs);
+        transport.ask(call, before);
     }
 
     /** The oldest call that hears nothing, or the youngest: a long list needs time to come. */
     private Call leastUseful() {
-        return out.stream().filter(each -> each.lastHeardAt == 0).findFirst().orElse(out.peekLast());
+        return pending.stream().filter(each -> each.lastHeardAt == 0).findFirst().orElse(pending.peekLast());
     }
 
-    private void hangUp() {
-        List.copyOf(out).forEach(wire::hangUp);
-        out.clear();
+    private void cancel() {
+        List.copyOf(pending).forEach(transport::cancel);
+        pending.clear();
     }
 }
--- a/src/main/java/beechseam/platform/Maintenance.java
+++ b/src/main/java/beechseam/platform/Maintenance.java
@@ -1,7 +1,7 @@
 package beechseam.platform;
 
 import beechseam.core.Engine;
-import beechseam.ops.Kept;
+import beechseam.ops.MaintenanceFile;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -10,13 +10,13 @@
 final class Maintenance {
     private final Engine engine;
     /** Where it is kept, or null. */
-    private final Kept kept;
+    private final MaintenanceFile kept;
     private final Map<String, Long> listed = new HashMap<>();
     private boolean unkept;
     /** When each was put back; 0 while it is left out. */
     private Map<String, Long> said = new LinkedHashMap<>();
 
-    Maintenance(Engine engine, Kept kept) {
+    Maintenance(Engine engine, MaintenanceFile kept) {
         this.engine = engine;
         this.kept = kept;
     }
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -10,8 +10,8 @@
 import beechseam.http.Slice;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
-import beechseam.ops.Door;
-import beechseam.ops.Kept;
+import beechseam.ops.AdminEndpoint;
+import beechseam.ops.MaintenanceFile;
 import beechseam.ops.Operations;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -45,7 +45,7 @@
      * the runtime lets go only at the turn's end; discovery's calls; the runtime's selector and files.
      */
     private static final int RUNTIME_FILES = 24;
-    private static final int SPARE_SOCKETS = Listener.AT_ONCE + ListWatch.MOST_OUT + RUNTIME_FILES;
+    private static final int SPARE_SOCKETS = Listener.AT_ONCE + ListWatch.MAX_PENDING_CALLS + RUNTIME_FILES;
 
     /** The configuration as its file has it now, checked. */
     public interface Configuration {
@@ -58,10 +58,10 @@
     final Engine engine;
     final Callbacks callbacks;
     final Maintenance maintenance;
-    private final Figures figures;
+    private final StatsReport figures;
     private final EgressPool pool;
     private final Discovery discovery;
-    private final Door door;
+    private final AdminEndpoint door;
     private final Succession succession;
     private Listener listener;
     private final Set<IngressConnection> ingress = new LinkedHashSet<>();
@@ -82,7 +82,7 @@
     };
     private boolean stopping;
     private Runnable stopped;
-    private Departure departure = Departure.NONE;
+    private DrainSchedule departure = DrainSchedule.NONE;
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
         this.loop = loop;
@@ -92,11 +92,12 @@
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
-        figures = new Figures(engine, options.settings.classes());
+        figures = new StatsReport(engine, options.settings.classes());
         counters.confLoaded++;
         callbacks = new Callbacks(engine, options, this::elsewhere);
         boolean keeps = config.console() != null && config.state() != null;
-        maintenance = new Maintenance(engine, keeps ? new Kept(config.state(), config.address()) : null);
+        maintenance = new Maintenance(engine,
+            keeps ? new MaintenanceFile(config.state(), config.address()) : null);
         discovery = new Discovery(loop, config.discovery(), config.discoveryHost(), engine, pool,
             maintenance, options.settings.rules().drainGraceNs());
         discovery.freshness().onOpen(() -> loop.atTurnEnd(engine::resume));
@@ -108,7 +109,7 @@
             maintenance.restore();
             listen();
         }
-        door = config.console() == null ? null : new Door(loop, config.console(), this);
+        door = config.console() == null ? null : new AdminEndpoint(loop, config.console(), this);
         loop.timers.set(sweep, loop.now() + SWEEP_NS);
     }
 
@@ -165,7 +166,7 @@
 
     /** Where the configuration may be read again, should discovery not be where this node was told. */
     public void rereads(Configuration configuration) {
-        discovery.lookup(configuration);
+        discovery.configuration(configuration);
     }
 
     /** A new configuration that cannot be used: the old one stays. */
@@ -283,7 +284,7 @@
     }
 
     boolean standby() {
-        return !stopping && departure != Departure.NONE;
+        return !stopping && departure != DrainSchedule.NONE;
     }
 
     @Override
@@ -314,8 +315,8 @@
         if (stopping) {
             return "stopping";
         }
-        if (on != (departure != Departure.NONE)) {
-            departure = on ? Departure.standby(loop.now()) : Departure.NONE;
+        if (on != (departure != DrainSchedule.NONE)) {
+            departure = on ? DrainSchedule.standby(loop.now()) : DrainSchedule.NONE;
             LOG.log(Level.INFO, on ? "standby: clients are sent away" : "active: clients are served");
             drained();
             tell(on ? "standby" : "active");
@@ -360,7 +361,7 @@
             long last = KILL_NS + Math.min(MOST_COUNTED_NS, longest) - KILL_MARGIN_NS;
             engine.lastAnswer(loop.now() + last);
             // On standby clients have found other nodes: nothing is waited for.
-            long late = departure != Departure.NONE ? loop.now()
+            long late = departure != DrainSchedule.NONE ? loop.now()
                 : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             depart(late);
@@ -376,7 +377,7 @@
     void depart(long late) {
         boolean before = handedOver();
         boolean handsOver = succession != null && succession.handOver();
-        departure = handsOver ? Departure.handOver(loop.now(), late) : Departure.stop(late);
+        departure = handsOver ? DrainSchedule.handOver(loop.now(), late) : DrainSchedule.stop(late);
         if (handsOver && !before) {
             LOG.log(Level.INFO, "clients go to the other process of this node");
             listener.closeWhenEmpty();
@@ -420,7 +421,7 @@
             pool.close();
             loop.timers.cancel(sweep);
             stopped.run();
-        } else if (departure != Departure.NONE) {
+        } else if (departure != DrainSchedule.NONE) {
             loop.timers.set(drain, now + DRAIN_CHECK_NS);
         }
     }
--- a/src/main/java/beechseam/platform/Figures.java
+++ b/src/main/java/beechseam/platform/StatsReport.java
@@ -6,11 +6,11 @@
 import java.util.List;
 
 /** The figures that operators read, a line each. */
-final class Figures {
+final class StatsReport {
     private final Engine engine;
     private final List<JobClass> classes;
 
-    Figures(Engine engine, List<JobClass> classes) {
+    StatsReport(Engine engine, List<JobClass> classes) {
         this.engine = engine;
         this.classes = classes;
     }
--- a/src/main/java/beechseam/platform/Succession.java
+++ b/src/main/java/beechseam/platform/Succession.java
@@ -4,8 +4,8 @@
 import beechseam.config.NodeConfig;
 import beechseam.core.Timer;
 import beechseam.http.Slice;
-import beechseam.ops.Door;
-import beechseam.ops.Link;
+import beechseam.ops.AdminEndpoint;
+import beechseam.ops.HandoverLink;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -16,7 +16,7 @@
 import java.util.Map;
 
 /** One node of two processes: how the younger joins, and when the elder may hand over to it. */
-final class Succession implements Link.Process {
+final class Succession implements HandoverLink.Process {
     private static final Logger LOG = System.getLogger(Succession.class.getName());
     private static final long CHECK_NS = 5_000_000L;
     /** So long the elder's state and discovery's list are waited for, then this one serves by what it has. */
@@ -25,12 +25,12 @@
     private static final long NOTE_NS = 1_000_000_000L;
 
     /** Pieces are filled up to this part of a frame, since the estimate of their size is rough. */
-    private static final int PIECE_BYTES = Link.MOST_PIECE / 2;
+    private static final int PIECE_BYTES = HandoverLink.MOST_PIECE / 2;
     /** A figure as JSON, with its comma. */
     private static final int FIGURE_BYTES = 25;
 
     private final PlatformNode node;
-    private final Link link;
+    private final HandoverLink link;
     private final Timer join = new Timer() {
         @Override
         protected void fire() {
@@ -44,7 +44,7 @@
 
     Succession(PlatformNode node, NodeConfig config) {
         this.node = node;
-        link = new Link(node.loop, config.state(), config.address(), this);
+        link = new HandoverLink(node.loop, config.state(), config.address(), this);
         joined = link.others() == 0;
         joinBy = node.loop.now() + JOIN_NS;
         if (!joined) {
@@ -147,7 +147,7 @@
     private static void add(List<byte[]> pieces, Map<String, double[]> piece) {
         try {
             byte[] text = Json.bytes(piece);
-            if (text.length <= Link.MOST_PIECE) {
+            if (text.length <= HandoverLink.MOST_PIECE) {
                 pieces.add(text);
             } else {
                 LOG.log(Level.WARNING, "not handed over, too long: " + piece.keySet());
@@ -181,7 +181,7 @@
     @Override
     public void call(String line) {
         told = true;
-        String answer = Door.answer(node, line);
+        String answer = AdminEndpoint.answer(node, line);
         told = false;
         LOG.log(Level.INFO, "told by the other process: " + line + ": " + answer.strip());
     }
--- a/src/main/java/beechseam/sim/Adapter.java
+++ b/src/main/java/beechseam/sim/Adapter.java
@@ -14,7 +14,6 @@
 import beechseam.Dispatcher;
 import beechseam.Dispatching.ListForm;
 import beechseam.Dispatching.Job;
-import beechseam.Dispatching.Load;
 import beechseam.Dispatching.Outcome;
 import beechseam.Dispatching.State;
 import beechseam.Dispatching.Worker;
--- a/src/test/java/beechseam/ops/DoorTest.java
+++ b/src/test/java/beechseam/ops/AdminEndpointTest.java
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.Test;
 
 /** The operators' door in front of a node that notes what it is asked. */
-class DoorTest {
+class AdminEndpointTest {
     private final Loopback net = new Loopback();
     private final List<String> asked = new ArrayList<>();
-    private final Door door = new Door(net.loop, Loopback.anyPort(), new Operations() {
+    private final AdminEndpoint door = new AdminEndpoint(net.loop, Loopback.anyPort(), new Operations() {
         @Override
         public String status() {
             asked.add("status");
@@ -46,7 +46,7 @@
     });
     private final InetSocketAddress at = door.address();
 
-    DoorTest() throws IOException {
+    AdminEndpointTest() throws IOException {
     }
 
     @AfterEach
--- a/src/test/java/beechseam/ops/LinkTest.java
+++ b/src/test/java/beechseam/ops/HandoverLinkTest.java
@@ -12,13 +12,13 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The link between two processes of a node, at the size that a large fleet makes of what they hand over. */
-class LinkTest {
+class HandoverLinkTest {
     private static final int PIECES = 40;
 
     private final Loopback net = new Loopback();
 
     /** Notes what it is told, and hands over pieces of the longest frames. */
-    private static final class End implements Link.Process {
+    private static final class End implements HandoverLink.Process {
         private final List<Integer> recalled = new ArrayList<>();
 
         @Override
@@ -30,7 +30,7 @@
         public Iterable<byte[]> learned() {
             List<byte[]> pieces = new ArrayList<>();
             for (int i = 0; i < PIECES; i++) {
-                pieces.add(new byte[Link.MOST_PIECE]);
+                pieces.add(new byte[HandoverLink.MOST_PIECE]);
             }
             return pieces;
         }
@@ -61,12 +61,12 @@
     /** All of it waits at once for a process that has not read a byte yet: 5 MB here. */
     @Test
     void whatIsHandedOverMayBeOfAnySize(@TempDir Path directory) {
-        Link elder = new Link(net.loop, directory, "n", new End());
+        HandoverLink elder = new HandoverLink(net.loop, directory, "n", new End());
         End younger = new End();
-        Link link = new Link(net.loop, directory, "n", younger);
+        HandoverLink link = new HandoverLink(net.loop, directory, "n", younger);
         net.until("the welcome", () -> !link.unwelcomed());
         assertEquals(PIECES, younger.recalled.size());
-        assertTrue(younger.recalled.stream().allMatch(each -> each == Link.MOST_PIECE));
+        assertTrue(younger.recalled.stream().allMatch(each -> each == HandoverLink.MOST_PIECE));
         assertEquals(1, link.others());
         elder.close();
         link.close();
--- a/src/test/java/beechseam/platform/HandoverPiecesTest.java
+++ b/src/test/java/beechseam/platform/HandoverPiecesTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import beechseam.config.Json;
-import beechseam.ops.Link;
+import beechseam.ops.HandoverLink;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -26,7 +26,7 @@
     private static Map<String, Object> joined(List<byte[]> pieces) throws IOException {
         Map<String, Object> all = new LinkedHashMap<>();
         for (byte[] each : pieces) {
-            assertTrue(each.length <= Link.MOST_PIECE, each.length + " bytes in one frame");
+            assertTrue(each.length <= HandoverLink.MOST_PIECE, each.length + " bytes in one frame");
             Map<?, ?> piece = (Map<?, ?>) Json.parse(each, 0, each.length);
             piece.forEach((name, list) -> all.put((String) name, list));
         }
--- a/src/test/java/beechseam/platform/ListWatchTest.java
+++ b/src/test/java/beechseam/platform/ListWatchTest.java
@@ -28,7 +28,7 @@
     enum Way { WELL, SILENT, REFUSED, RESET, ERROR, LATE, SPOILT, HASTY, SLOW }
 
     /** An agent that fails as it is told to, on a clock of its own. */
-    private static final class Agent implements ListWatch.Wire {
+    private static final class Agent implements ListWatch.Transport {
         final TimerQueue timers = new TimerQueue();
         final Random random;
         final List<Call> waiting = new ArrayList<>();
@@ -167,7 +167,7 @@
         }
 
         @Override
-        public void hangUp(Call call) {
+        public void cancel(Call call) {
             out -= hungUp.add(call) ? 1 : 0;
             waiting.remove(call);
         }
@@ -197,7 +197,7 @@
         for (long length : new long[] {MS, 140 * MS, S, 3 * S, 10 * S}) {
             for (long offset = 0; offset <= length + 3 * S; offset += grid) {
                 Agent agent = new Agent(1);
-                agent.run(5 * S + offset * 7 % ListWatch.WAIT_NS); // at any moment of a watch
+                agent.run(5 * S + offset * 7 % ListWatch.WATCH_WAIT_NS); // at any moment of a watch
                 long start = agent.now;
                 agent.at(start + length, () -> agent.way = Way.WELL);
                 agent.strike(way);
@@ -215,8 +215,8 @@
     void aChangeIsToldWellWithinTheTermWhateverFailed(Way way) {
         long worst = worst(way, 50 * MS);
         System.out.println("discovery " + way + ": told " + worst / MS + " ms after it could be had");
-        assertTrue(worst <= ListWatch.WAIT_NS + 2 * GRACE, way + ": " + worst / MS + " ms");
-        assertTrue(worst < ListWatch.TOLD_NS / 2, "with half of the term to spare");
+        assertTrue(worst <= ListWatch.WATCH_WAIT_NS + 2 * GRACE, way + ": " + worst / MS + " ms");
+        assertTrue(worst < ListWatch.PROPAGATION_LIMIT_NS / 2, "with half of the term to spare");
     }
 
     /**
@@ -252,7 +252,7 @@
             agent.run(6 * S + agent.random.nextInt(3000) * MS);
             agent.change();
             long from = agent.now;
-            assertTrue(agent.told(2, 20 * S) - from <= ListWatch.TOLD_NS, "seed " + seed);
+            assertTrue(agent.told(2, 20 * S) - from <= ListWatch.PROPAGATION_LIMIT_NS, "seed " + seed);
         }
     }
 
@@ -265,7 +265,7 @@
         agent.strike(Way.SILENT);
         agent.run(120 * S);
         assertTrue(agent.calls < 32 + 60 * S / (GRACE / 2) + 2, "in a silent minute: " + agent.calls);
-        assertTrue(agent.mostOut <= ListWatch.MOST_OUT, "" + agent.mostOut);
+        assertTrue(agent.mostOut <= ListWatch.MAX_PENDING_CALLS, "" + agent.mostOut);
         agent.watch.stop();
         assertEquals(0, agent.out, "none is left behind");
         int calls = agent.calls;
@@ -292,7 +292,7 @@
         agent.run(30 * S);
         agent.change();
         long from = agent.now;
-        assertTrue(agent.told(2, 10 * S) - from <= ListWatch.WAIT_NS + 2 * S, "late, but told");
+        assertTrue(agent.told(2, 10 * S) - from <= ListWatch.WATCH_WAIT_NS + 2 * S, "late, but told");
     }
 
     /** 4,096 servers at 10 KB/s: the call that began it is kept, whatever is asked beside it. */
@@ -304,7 +304,7 @@
         assertTrue(agent.watch.freshness().open(), "by the list as held, after the time of an answer");
         agent.run(SLOW_NS + S);
         assertTrue(agent.watch.held());
-        assertTrue(agent.mostOut <= ListWatch.MOST_OUT, "" + agent.mostOut);
+        assertTrue(agent.mostOut <= ListWatch.MAX_PENDING_CALLS, "" + agent.mostOut);
     }
 
     /** An answer that never ends does not keep a change from being told by the next call. */
@@ -345,9 +345,9 @@
         agent.run(2 * MS);
         assertTrue(agent.watch.freshness().open() && agent.watch.held());
         Agent silent = new Agent(1, Way.SILENT);
-        silent.run(ListWatch.ANSWER_NS - 1);
+        silent.run(ListWatch.ANSWER_TIMEOUT_NS - 1);
         assertFalse(silent.watch.freshness().open());
-        silent.run(ListWatch.ANSWER_NS + GRACE / 4); // at the next heartbeat
+        silent.run(ListWatch.ANSWER_TIMEOUT_NS + GRACE / 4); // at the next heartbeat
         assertTrue(silent.watch.freshness().open() && !silent.watch.held());
     }
 }
--- a/src/test/java/beechseam/platform/RouteTableGateTest.java
+++ b/src/test/java/beechseam/platform/RouteTableGateTest.java
@@ -119,7 +119,7 @@
         long startedAt = System.nanoTime();
         ask("c1", "safe", "30000m");
         hop(0, "c1");
-        assertTrue(System.nanoTime() - startedAt > ListWatch.ANSWER_NS * 8 / 10);
+        assertTrue(System.nanoTime() - startedAt > ListWatch.ANSWER_TIMEOUT_NS * 8 / 10);
         assertEquals(RouteTableFreshness.State.UNCONFIRMED, node.routeTable());
         assertFalse(node.held());
     }
