--- a/src/main/java/beechseam/core/Hop.java
+++ b/src/main/java/beechseam/core/Attempt.java
@@ -1,7 +1,7 @@
 package beechseam.core;
 
 /** One attempt at a request, at one egress target. */
-public final class Hop {
+public final class Attempt {
     public final Request request;
     public final int number;
     public final long target;
@@ -14,7 +14,7 @@
     /** It waits for the send gate; the egress does not hold it. */
     boolean deferred;
 
-    Hop(Request request, int number, long target, Timer timeout) {
+    Attempt(Request request, int number, long target, Timer timeout) {
         this.request = request;
         this.number = number;
         this.target = target;
--- a/src/main/java/beechseam/core/Counters.java
+++ b/src/main/java/beechseam/core/Counters.java
@@ -14,7 +14,7 @@
         long failed;
         /** Shed before the module saw them. */
         public long crowdedOut;
-        /** Hops written to the last byte. */
+        /** Attempts written to the last byte. */
         public long written;
 
         public long answered() {
@@ -32,14 +32,14 @@
 
     private final List<OfClass> classes = new ArrayList<>();
     public long taken;
-    /** Hops that the module has decided on. */
+    /** Attempts that the module has decided on. */
     public long sent;
     public long left;
     public long probes;
     public long lateCallbacks;
     public long badInput;
     public long withheld;
-    /** Hops whose connection fell silent before the target had taken them. */
+    /** Attempts whose connection fell silent before the target had taken them. */
     public long silent;
     public long faults;
     public long confLoaded;
@@ -73,7 +73,7 @@
         return sum(c -> c.crowdedOut);
     }
 
-    /** Jobs taken and not yet ended, whatever hops they still have out. */
+    /** Jobs taken and not yet ended, whatever attempts they still have out. */
     public long current() {
         return taken - served() - shed() - failed() - left;
     }
--- a/src/main/java/beechseam/core/DeferredWork.java
+++ b/src/main/java/beechseam/core/DeferredWork.java
@@ -16,7 +16,7 @@
     }
 
     private final ArrayDeque<DeferredJob> jobs = new ArrayDeque<>();
-    private final ArrayDeque<Hop> hops = new ArrayDeque<>();
+    private final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
     private final Set<Long> probes = new LinkedHashSet<>();
 
     /** A request that the module has not been offered. */
@@ -26,9 +26,9 @@
     }
 
     /** An attempt that the module has decided on and that has not begun. */
-    void add(Hop hop) {
-        hop.deferred = true;
-        hops.add(hop);
+    void add(Attempt attempt) {
+        attempt.deferred = true;
+        attempts.add(attempt);
     }
 
     /** A probe of the target that has not been sent. */
@@ -37,18 +37,18 @@
     }
 
     boolean isEmpty() {
-        return jobs.isEmpty() && hops.isEmpty() && probes.isEmpty();
+        return jobs.isEmpty() && attempts.isEmpty() && probes.isEmpty();
     }
 
     /** Hands on all that waits now; what is added meanwhile waits for the next call. */
-    void release(BiConsumer<Request, Job> toModule, Consumer<Hop> toEgress, LongConsumer toProbe) {
+    void release(BiConsumer<Request, Job> toModule, Consumer<Attempt> toEgress, LongConsumer toProbe) {
         List<DeferredJob> dueJobs = new ArrayList<>(jobs);
-        List<Hop> dueHops = new ArrayList<>(hops);
+        List<Attempt> dueAttempts = new ArrayList<>(attempts);
         List<Long> dueProbes = new ArrayList<>(probes);
         jobs.clear();
-        hops.clear();
+        attempts.clear();
         probes.clear();
-        for (Hop each : dueHops) {
+        for (Attempt each : dueAttempts) {
             each.deferred = false;
             if (!each.over) {
                 toEgress.accept(each);
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -19,7 +19,7 @@
 
 /**
  * Drives the decision module: hands it what fronts, egress and discovery tell, and does what it decides.
- * Single-threaded. It sees to one final answer a request and one end a hop, whatever the wires do.
+ * Single-threaded. It sees to one final answer a request and one end an attempt, whatever the wires do.
  */
 public final class Engine {
     private static final Logger LOG = System.getLogger(Engine.class.getName());
@@ -84,7 +84,7 @@
         return routes.ids().stream().filter(id -> !routes.serving(id) || module.avoids(now(), id)).count();
     }
 
-    /** Requests that owe an answer or still have a hop out. */
+    /** Requests that owe an answer or still have an attempt out. */
     public int open() {
         return byId.size();
     }
@@ -170,11 +170,11 @@
     }
 
     /** An attempt that waited: its target may be listed otherwise by now. */
-    private void sendOn(Hop hop) {
-        if (routes.serving(hop.target)) {
-            egress.send(hop);
+    private void sendOn(Attempt attempt) {
+        if (routes.serving(attempt.target)) {
+            egress.send(attempt);
         } else {
-            withhold(hop, true);
+            withhold(attempt, true);
         }
     }
 
@@ -199,10 +199,10 @@
     }
 
     private void expire(Request r, boolean cut) {
-        for (Hop hop : List.copyOf(r.hops)) {
-            if (!hop.over && !cut) { // told of a cut hop's end the module would send another
-                withdraw(hop);
-                end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
+        for (Attempt attempt : List.copyOf(r.attempts)) {
+            if (!attempt.over && !cut) { // told of a cut attempt's end the module would send another
+                withdraw(attempt);
+                end(attempt, attempt.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         }
         if (!r.finished && r.deferred) {
@@ -224,10 +224,10 @@
         forget(r);
     }
 
-    /** The hop's answer is not wanted any more. */
-    private void withdraw(Hop hop) {
-        if (!hop.deferred) {
-            egress.cancel(hop);
+    /** The attempt's answer is not wanted any more. */
+    private void withdraw(Attempt attempt) {
+        if (!attempt.deferred) {
+            egress.cancel(attempt);
         }
     }
 
@@ -246,77 +246,80 @@
     // ---- From the egress
 
     /**
-     * Asked by an egress just before a hop's first byte, since much may have changed while the hop waited for
-     * a connection: its end was decided, its client has gone, its target drains, or the time in which the
-     * request may be repeated is over. False where it must not go any more, and its end is then told, or
-     * where the gate is closed, and it is then given to the egress once more.
+     * Asked by an egress just before an attempt's first byte, since much may have changed while the attempt
+     * waited for a connection: its end was decided, its client has gone, its target drains, or the time in
+     * which the request may be repeated is over. False where it must not go any more, and its end is then
+     * told, or where the gate is closed, and it is then given to the egress once more.
      */
-    public boolean begins(Hop hop) {
-        Request r = hop.request;
-        if (hop.over) {
+    public boolean begins(Attempt attempt) {
+        Request r = attempt.request;
+        if (attempt.over) {
             return false;
         }
         if (!gate.open()) {
-            waiting.add(hop);
+            waiting.add(attempt);
             return false;
         }
-        boolean wanted = !r.finished && r.ingress.waits(r) && !r.finished && !hop.over;
-        if (wanted && routes.serving(hop.target) && now() < module.repeatsEnd(r.id)) {
-            hop.begun();
+        boolean wanted = !r.finished && r.ingress.waits(r) && !r.finished && !attempt.over;
+        if (wanted && routes.serving(attempt.target) && now() < module.repeatsEnd(r.id)) {
+            attempt.begun();
             return true;
         }
-        withhold(hop, wanted);
+        withhold(attempt, wanted);
         return false;
     }
 
     /** It ends with nothing sent; {@code wanted}: its client still waits. */
-    private void withhold(Hop hop, boolean wanted) {
+    private void withhold(Attempt attempt, boolean wanted) {
         counters.withheld += wanted ? 1 : 0;
-        trace("withheld", hop.request.id, hop.number, hop.target, wanted);
-        tell(() -> end(hop, Outcome.NOT_SENT, null, null));
+        trace("withheld", attempt.request.id, attempt.number, attempt.target, wanted);
+        tell(() -> end(attempt, Outcome.NOT_SENT, null, null));
     }
 
-    public void started(Hop hop) {
+    public void started(Attempt attempt) {
         tell(() -> {
-            hop.heardOf = true;
-            if (!hop.over) {
-                trace("start", hop.request.id, hop.number, hop.target);
-                module.started(now(), hop.request.id, hop.number);
+            attempt.heardOf = true;
+            if (!attempt.over) {
+                trace("start", attempt.request.id, attempt.number, attempt.target);
+                module.started(now(), attempt.request.id, attempt.number);
             }
         });
     }
 
-    public void progress(Hop hop, double share) {
+    public void progress(Attempt attempt, double share) {
         tell(() -> {
-            if (!hop.over) {
-                module.progress(now(), hop.request.id, hop.number, share);
+            if (!attempt.over) {
+                module.progress(now(), attempt.request.id, attempt.number, share);
             }
         });
     }
 
-    /** A hop's end; the first that served answers the client. Ends of hops that are over are passed over. */
-    public void ended(Hop hop, Outcome outcome, byte[] result, Load load) {
-        tell(() -> end(hop, outcome, result, load));
+    /**
+     * An attempt's end; the first that served answers the client. Ends of attempts that are over are passed
+     * over.
+     */
+    public void ended(Attempt attempt, Outcome outcome, byte[] result, Load load) {
+        tell(() -> end(attempt, outcome, result, load));
     }
 
-    private void end(Hop hop, Outcome outcome, byte[] result, Load load) {
-        if (hop.over) {
+    private void end(Attempt attempt, Outcome outcome, byte[] result, Load load) {
+        if (attempt.over) {
             return;
         }
-        Request r = hop.request;
-        hop.over = true;
+        Request r = attempt.request;
+        attempt.over = true;
         r.out--;
         counters.count(outcome);
-        trace("end", r.id, hop.number, hop.target, outcome, load);
-        if (hop.timeout != null) {
-            timers.cancel(hop.timeout);
+        trace("end", r.id, attempt.number, attempt.target, outcome, load);
+        if (attempt.timeout != null) {
+            timers.cancel(attempt.timeout);
         }
         if (outcome == Outcome.SERVED && !r.finished) {
             counters.of(r.jobClass).served++;
             finish(r);
             r.ingress.served(r, result);
         }
-        module.ended(now(), r.id, hop.number, outcome, r.finished, load);
+        module.ended(now(), r.id, attempt.number, outcome, r.finished, load);
         forget(r);
     }
 
@@ -328,7 +331,7 @@
     // ---- From discovery
 
     public void routes(ListForm form, List<Worker> lines) {
-        // At once, not deferred: a hop about to be written must see the newest table.
+        // At once, not deferred: an attempt about to be written must see the newest table.
         List<Worker> shown = routes.apply(form, lines);
         trace("list", form, now(), shown);
         tell(() -> module.list(now(), form, shown));
@@ -367,37 +370,37 @@
             Timer timeout = timeoutNs == 0 ? null : new Timer() {
                 @Override
                 protected void fire() {
-                    timeOut(r, r.hopAt(worker));
+                    timeOut(r, r.attemptAt(worker));
                 }
             };
-            Hop hop = new Hop(r, r.hops.size(), worker, timeout);
-            r.hops.add(hop);
+            Attempt attempt = new Attempt(r, r.attempts.size(), worker, timeout);
+            r.attempts.add(attempt);
             r.out++;
             counters.sent++;
-            trace("send", job, hop.number, worker);
+            trace("send", job, attempt.number, worker);
             if (timeout != null) {
                 timers.set(timeout, now() + timeoutNs);
             }
             if (gate.open()) {
-                egress.send(hop);
+                egress.send(attempt);
             } else {
-                waiting.add(hop);
+                waiting.add(attempt);
             }
         }
 
         @Override
-        public void cancel(long job, int attempt) {
+        public void cancel(long job, int number) {
             Request r = byId.get(job);
-            if (r == null || attempt < 0 || attempt >= r.hops.size() || r.hops.get(attempt).over) {
+            if (r == null || number < 0 || number >= r.attempts.size() || r.attempts.get(number).over) {
                 return;
             }
-            Hop hop = r.hops.get(attempt);
-            if (r.finished || hop.deferred || limits.copies()) {
-                withdraw(hop);
-            } else if (!egress.takeBack(hop)) {
+            Attempt attempt = r.attempts.get(number);
+            if (r.finished || attempt.deferred || limits.copies()) {
+                withdraw(attempt);
+            } else if (!egress.takeBack(attempt)) {
                 return;
             }
-            tell(() -> end(hop, Outcome.CANCELLED, null, null));
+            tell(() -> end(attempt, Outcome.CANCELLED, null, null));
         }
 
         @Override
@@ -452,11 +455,11 @@
         }
     }
 
-    private void timeOut(Request r, Hop hop) {
+    private void timeOut(Request r, Attempt attempt) {
         tell(() -> {
-            if (hop != null && !hop.over) {
-                withdraw(hop);
-                end(hop, hop.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
+            if (attempt != null && !attempt.over) {
+                withdraw(attempt);
+                end(attempt, attempt.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         });
     }
--- a/src/main/java/beechseam/core/Ingress.java
+++ b/src/main/java/beechseam/core/Ingress.java
@@ -12,9 +12,9 @@
     void failed(Request request, String why);
 
     /**
-     * Whether the client still waits, as far as can be told at this instant: asked before a hop's first byte,
-     * since a client may have gone unnoticed in the turn in which the hop is sent. One that has gone may be
-     * told to {@link Engine#left} within the call.
+     * Whether the client still waits, as far as can be told at this instant: asked before an attempt's first
+     * byte, since a client may have gone unnoticed in the turn in which the attempt is sent. One that has
+     * gone may be told to {@link Engine#left} within the call.
      */
     default boolean waits(Request request) {
         return true;
--- a/src/main/java/beechseam/core/Request.java
+++ b/src/main/java/beechseam/core/Request.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A job that a front has taken, until its final answer is given and its hops have ended. */
+/** A job that a front has taken, until its final answer is given and its attempts have ended. */
 public final class Request {
     /** The name by which clients and targets know it. */
     public final String correlation;
@@ -14,7 +14,7 @@
     public final Object message;
     final Ingress ingress;
     final long id;
-    final List<Hop> hops = new ArrayList<>(2);
+    final List<Attempt> attempts = new ArrayList<>(2);
     Timer deadline;
     int out;
     boolean finished;
@@ -34,12 +34,12 @@
         return finished;
     }
 
-    /** The latest hop at the target that is still out, or null. */
-    public Hop hopAt(long target) {
-        for (int i = hops.size() - 1; i >= 0; i--) {
-            Hop hop = hops.get(i);
-            if (hop.target == target && !hop.over) {
-                return hop;
+    /** The latest attempt at the target that is still out, or null. */
+    public Attempt attemptAt(long target) {
+        for (int i = attempts.size() - 1; i >= 0; i--) {
+            Attempt attempt = attempts.get(i);
+            if (attempt.target == target && !attempt.over) {
+                return attempt;
             }
         }
         return null;
--- a/src/main/java/beechseam/core/RouteTable.java
+++ b/src/main/java/beechseam/core/RouteTable.java
@@ -55,7 +55,7 @@
         return new Worker(row.id(), row.cell(), row.zone(), row.kind(), born, state, row.weight());
     }
 
-    /** Whether new work may still go there: asked again just before a hop's first byte. */
+    /** Whether new work may still go there: asked again just before an attempt's first byte. */
     public boolean serving(long target) {
         Worker row = rows.get(target);
         return row != null && row.state() == State.READY && !out.contains(target);
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -12,7 +12,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Timer;
 import beechseam.gearman.queue.Cohorts;
 import beechseam.gearman.queue.Cohorts.Cohort;
@@ -61,8 +61,8 @@
     private final GearmanConfig.Function known;
     private final Counters counters = new Counters();
     private final long leadNs;
-    /** Hops that a cohort has been given beyond its free workers, by cohort; most of the time none. */
-    private final Map<Long, ArrayDeque<Hop>> parked = new HashMap<>();
+    /** Attempts that a cohort has been given beyond its free workers, by cohort; most of the time none. */
+    private final Map<Long, ArrayDeque<Attempt>> parked = new HashMap<>();
     private Engine engine;
     private boolean awake;
     private long awakeAt;
@@ -109,7 +109,7 @@
         return counters;
     }
 
-    /** Requests that the engine still has, also those answered with a hop out. */
+    /** Requests that the engine still has, also those answered with an attempt out. */
     int open() {
         return engine == null ? 0 : engine.open();
     }
@@ -330,7 +330,7 @@
 
     /** What waits for a cohort that is gone never ran. */
     private void release(Cohort<WorkerSession> gone) {
-        ArrayDeque<Hop> waiting = parked.remove(gone.id);
+        ArrayDeque<Attempt> waiting = parked.remove(gone.id);
         if (waiting != null) {
             waiting.forEach(this::withhold);
         }
@@ -414,45 +414,45 @@
 
     // ---- Egress
 
-    static GearmanJob job(Hop hop) {
-        return (GearmanJob) hop.request.message;
+    static GearmanJob job(Attempt attempt) {
+        return (GearmanJob) attempt.request.message;
     }
 
     @Override
-    public void send(Hop hop) {
-        GearmanJob job = job(hop);
+    public void send(Attempt attempt) {
+        GearmanJob job = job(attempt);
         if (!job.placed) {
             job.placed = true;
             unplaced--;
         }
-        Cohort<WorkerSession> c = cohorts.find(hop.target);
+        Cohort<WorkerSession> c = cohorts.find(attempt.target);
         if (c == null) {
-            engine.ended(hop, Outcome.NOT_SENT, null, null);
+            engine.ended(attempt, Outcome.NOT_SENT, null, null);
             return;
         }
         WorkerSession w = cohorts.pick(c);
         if (w != null) {
-            w.park(hop);
+            w.park(attempt);
         } else { // several were placed at once: the one that the next free worker there takes is as good
-            parked.computeIfAbsent(c.id, id -> new ArrayDeque<>()).add(hop);
+            parked.computeIfAbsent(c.id, id -> new ArrayDeque<>()).add(attempt);
             handBack();
         }
     }
 
-    /** A worker of the cohort is free; the hop that waits for one, or null. */
-    Hop unpark(Member<WorkerSession> m) {
-        ArrayDeque<Hop> waiting = parked.isEmpty() ? null : parked.get(m.cohort().id);
+    /** A worker of the cohort is free; the attempt that waits for one, or null. */
+    Attempt unpark(Member<WorkerSession> m) {
+        ArrayDeque<Attempt> waiting = parked.isEmpty() ? null : parked.get(m.cohort().id);
         if (waiting == null) {
             return null;
         }
-        Hop hop = waiting.poll();
-        while (hop != null && hop.over()) {
-            hop = waiting.poll();
+        Attempt attempt = waiting.poll();
+        while (attempt != null && attempt.over()) {
+            attempt = waiting.poll();
         }
         if (waiting.isEmpty()) {
             parked.remove(m.cohort().id);
         }
-        return hop;
+        return attempt;
     }
 
     /** What waits for a busy cohort while another has a free worker goes back to the module. */
@@ -461,14 +461,14 @@
             return;
         }
         int room = cohorts.free();
-        for (Map.Entry<Long, ArrayDeque<Hop>> each : List.copyOf(parked.entrySet())) {
+        for (Map.Entry<Long, ArrayDeque<Attempt>> each : List.copyOf(parked.entrySet())) {
             Cohort<WorkerSession> c = cohorts.find(each.getKey());
             if (c != null && c.ready()) {
                 continue; // its own takes it
             }
-            for (Hop hop = each.getValue().poll(); hop != null; hop = room > 0 ? each.getValue().poll()
-                : null) {
-                withhold(hop);
+            ArrayDeque<Attempt> queue = each.getValue();
+            while (room > 0 && !queue.isEmpty()) {
+                withhold(queue.poll());
                 room--;
             }
             if (each.getValue().isEmpty()) {
@@ -481,15 +481,15 @@
     }
 
     /** It was not begun: the module may place it anew. */
-    void withhold(Hop hop) {
-        if (!hop.over()) {
+    void withhold(Attempt attempt) {
+        if (!attempt.over()) {
             counters.withheld++;
-            engine.ended(hop, Outcome.NOT_SENT, null, null);
+            engine.ended(attempt, Outcome.NOT_SENT, null, null);
         }
     }
 
-    /** A hop at this worker has ended. */
-    void ended(Hop hop, Outcome outcome, byte[] result, Member<WorkerSession> m) {
+    /** An attempt at this worker has ended. */
+    void ended(Attempt attempt, Outcome outcome, byte[] result, Member<WorkerSession> m) {
         Load load = null;
         if (m != null && (outcome == Outcome.SERVED || outcome == Outcome.ERROR)) {
             long now = server.loop.now();
@@ -499,7 +499,7 @@
                 load = load(c);
             }
         }
-        engine.ended(hop, outcome, result, load);
+        engine.ended(attempt, outcome, result, load);
     }
 
     /** The worker has run a job well, badly, or not at all: it may belong elsewhere. */
@@ -518,14 +518,14 @@
     }
 
     @Override
-    public void cancel(Hop hop) {
-        ArrayDeque<Hop> waiting = parked.get(hop.target);
-        if (waiting != null && waiting.remove(hop)) {
+    public void cancel(Attempt attempt) {
+        ArrayDeque<Attempt> waiting = parked.get(attempt.target);
+        if (waiting != null && waiting.remove(attempt)) {
             if (waiting.isEmpty()) {
-                parked.remove(hop.target);
+                parked.remove(attempt.target);
             }
-        } else if (hop.carrier instanceof WorkerSession w) {
-            w.unpark(hop);
+        } else if (attempt.carrier instanceof WorkerSession w) {
+            w.unpark(attempt);
         }
     }
 
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -1,7 +1,7 @@
 package beechseam.gearman;
 
 import beechseam.config.GearmanConfig.Mode;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
 import beechseam.gearman.protocol.Packet;
@@ -52,8 +52,8 @@
     int runs;
     Object dueMark;
     Request request;
-    /** The hop whose data the clients are shown: of two copies only one speaks. */
-    private Hop speaker;
+    /** The attempt whose data the clients are shown: of two copies only one speaks. */
+    private Attempt speaker;
     private GearmanConnection client;
     private List<GearmanConnection> others;
     String numerator = "0";
@@ -178,12 +178,12 @@
         }
     }
 
-    /** Whether this hop's data goes to the clients. */
-    boolean speaks(Hop hop) {
+    /** Whether this attempt's data goes to the clients. */
+    boolean speaks(Attempt attempt) {
         if (speaker == null || speaker.over()) {
-            speaker = hop;
+            speaker = attempt;
         }
-        return speaker == hop;
+        return speaker == attempt;
     }
 
     // ---- Its final answer
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -1,7 +1,7 @@
 package beechseam.gearman;
 
 import beechseam.Dispatching.Outcome;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Timer;
 import beechseam.gearman.protocol.Arguments;
 import beechseam.gearman.protocol.Packet;
@@ -37,15 +37,15 @@
 
     /** A job that it holds, also once nobody waits for it any more: only the worker can end that. */
     private static final class Run {
-        final Hop hop;
+        final Attempt attempt;
         final GearmanFunction function;
         final long startedAt;
         Timer limit;
         /** It has reported an exception; unless it says otherwise that was the end. */
         boolean excepted;
 
-        Run(Hop hop, GearmanFunction function, long startedAt) {
-            this.hop = hop;
+        Run(Attempt attempt, GearmanFunction function, long startedAt) {
+            this.attempt = attempt;
             this.function = function;
             this.startedAt = startedAt;
         }
@@ -58,7 +58,7 @@
     private final Map<String, Run> held = new LinkedHashMap<>();
     private State state = State.AWAY;
     private Place place;
-    private Hop parked;
+    private Attempt parked;
     private Timer call;
     private boolean drained;
     private boolean shownFree;
@@ -179,10 +179,10 @@
             connection.write(Packet.NO_JOB.response());
             return;
         }
-        Hop hop = parked;
+        Attempt attempt = parked;
         parked = null;
         state = State.AWAY;
-        assign(hop, how);
+        assign(attempt, how);
     }
 
     void preSleep() {
@@ -216,7 +216,7 @@
     }
 
     /**
-     * Tells the functions when it has become free, or no longer is; a hop may be parked here before it
+     * Tells the functions when it has become free, or no longer is; an attempt may be parked here before it
      * returns.
      */
     private void refresh() {
@@ -230,7 +230,7 @@
                 return; // it got one on the way, and all have been told
             }
             if (now && a.function().awake()) {
-                Hop waiting = a.function().unpark(a.member());
+                Attempt waiting = a.function().unpark(a.member());
                 if (waiting != null) {
                     park(waiting);
                     return;
@@ -253,17 +253,17 @@
         }
     }
 
-    /** The module has placed a hop here. */
-    void park(Hop hop) {
-        parked = hop;
-        hop.carrier = this;
+    /** The module has placed an attempt here. */
+    void park(Attempt attempt) {
+        parked = attempt;
+        attempt.carrier = this;
         refresh();
         wake();
     }
 
-    /** The hop that waits here is not wanted any more. */
-    void unpark(Hop hop) {
-        if (parked == hop) {
+    /** The attempt that waits here is not wanted any more. */
+    void unpark(Attempt attempt) {
+        if (parked == attempt) {
             parked = null;
             refresh();
         }
@@ -296,27 +296,27 @@
     }
 
     private void giveBack(Outcome outcome) {
-        Hop hop = parked;
+        Attempt attempt = parked;
         parked = null;
         refresh();
-        GearmanFunction f = GearmanFunction.job(hop).function;
+        GearmanFunction f = GearmanFunction.job(attempt).function;
         if (outcome == Outcome.NOT_SENT) {
-            f.withhold(hop);
+            f.withhold(attempt);
         } else {
             Member<WorkerSession> m = member(f);
             if (m != null) {
                 f.learned(m, outcome, 0);
             }
-            f.ended(hop, outcome, null, null);
+            f.ended(attempt, outcome, null, null);
         }
     }
 
     // ---- Jobs
 
-    private void assign(Hop hop, Packet how) {
-        GearmanJob job = GearmanFunction.job(hop);
+    private void assign(Attempt attempt, Packet how) {
+        GearmanJob job = GearmanFunction.job(attempt);
         GearmanFunction f = job.function;
-        Run run = new Run(hop, f, server.loop.now());
+        Run run = new Run(attempt, f, server.loop.now());
         String handle = job.handle();
         Run before = held.put(handle, run);
         if (before != null) { // a late one of the same job: what it says from now on is of this one
@@ -326,7 +326,7 @@
             f.running += job.runs == 1 ? 1 : 0;
         }
         loads();
-        hop.begun();
+        attempt.begun();
         switch (how) {
             case GRAB_JOB_UNIQ -> hand(Packet.JOB_ASSIGN_UNIQ, job, handle, f.name, job.unique);
             case GRAB_JOB_ALL -> hand(Packet.JOB_ASSIGN_ALL, job, handle, f.name, job.unique,
@@ -339,15 +339,15 @@
                 @Override
                 protected void fire() { // the worker's own limit: it may still run there
                     run.limit = null;
-                    if (!hop.over()) {
+                    if (!attempt.over()) {
                         f.learned(a.member(), Outcome.TIMEOUT, 0);
-                        f.ended(hop, Outcome.TIMEOUT, null, null);
+                        f.ended(attempt, Outcome.TIMEOUT, null, null);
                     }
                 }
             };
             server.loop.timers.set(run.limit, server.loop.now() + a.seconds() * 1_000_000_000L);
         }
-        f.engine().started(hop);
+        f.engine().started(attempt);
     }
 
     private void hand(Packet kind, GearmanJob job, Object... args) {
@@ -368,8 +368,8 @@
             connection.error("JOB_NOT_FOUND", "this worker holds no such job");
             return;
         }
-        GearmanJob job = GearmanFunction.job(run.hop);
-        boolean live = !run.hop.over() && !run.hop.request.finished();
+        GearmanJob job = GearmanFunction.job(run.attempt);
+        boolean live = !run.attempt.over() && !run.attempt.request.finished();
         switch (kind) {
             case WORK_COMPLETE -> {
                 if (live && job.result == null) {
@@ -379,16 +379,16 @@
             }
             case WORK_FAIL -> end(run, Outcome.ERROR);
             case WORK_STATUS -> {
-                if (live && job.speaks(run.hop)) {
+                if (live && job.speaks(run.attempt)) {
                     job.numerator = args.text(1);
                     job.denominator = args.text(2);
                     job.forward(kind, args.kept(2), args.text(0), job.numerator);
-                    progress(run.hop, job);
+                    progress(run.attempt, job);
                 }
             }
             default -> {
                 run.excepted |= kind == Packet.WORK_EXCEPTION;
-                if (live && job.speaks(run.hop)) {
+                if (live && job.speaks(run.attempt)) {
                     job.forward(kind, args.kept(1), args.text(0));
                     server.pressure(connection, job);
                 }
@@ -396,11 +396,11 @@
         }
     }
 
-    private static void progress(Hop hop, GearmanJob job) {
+    private static void progress(Attempt attempt, GearmanJob job) {
         try {
             double share = Double.parseDouble(job.numerator) / Double.parseDouble(job.denominator);
             if (share >= 0 && share <= 1) {
-                job.function.engine().progress(hop, share);
+                job.function.engine().progress(attempt, share);
             }
         } catch (NumberFormatException e) {
             // by the protocol it is for the clients, whatever it says
@@ -411,15 +411,15 @@
     private void end(Run run, Outcome outcome) {
         forget(run);
         Member<WorkerSession> m = member(run.function);
-        if (m != null && !run.hop.over()) {
+        if (m != null && !run.attempt.over()) {
             run.function.learned(m, outcome, server.loop.now() - run.startedAt);
         }
-        run.function.ended(run.hop, outcome, null, m);
+        run.function.ended(run.attempt, outcome, null, m);
     }
 
     private void forget(Run run) {
         disarm(run);
-        GearmanJob job = GearmanFunction.job(run.hop);
+        GearmanJob job = GearmanFunction.job(run.attempt);
         held.remove(job.handle());
         job.runs--;
         run.function.running -= job.runs == 0 ? 1 : 0;
@@ -439,7 +439,7 @@
         resetAbilities();
         for (Run run : new ArrayList<>(held.values())) { // each may have run to any point
             forget(run);
-            run.function.ended(run.hop, Outcome.LOST, null, null);
+            run.function.ended(run.attempt, Outcome.LOST, null, null);
         }
         if (parked != null) {
             giveBack(Outcome.NOT_SENT);
--- a/src/main/java/beechseam/library/Balancer.java
+++ b/src/main/java/beechseam/library/Balancer.java
@@ -13,7 +13,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
 import beechseam.core.Timer;
@@ -96,7 +96,8 @@
         }
 
         /**
-         * What the module is told of its load; null where its slots are not known, as own hops say enough.
+         * What the module is told of its load; null where its slots are not known, as own attempts say
+         * enough.
          */
         Load load() {
             return target.slots() == 0 ? null
@@ -509,28 +510,28 @@
     private final class ToSender implements Egress {
         @Override
         @SuppressWarnings("unchecked")
-        public void send(Hop hop) {
-            Place place = byNumber.get(hop.target);
-            if (place == null || !engine.routes().serving(hop.target)) {
-                engine.ended(hop, beechseam.Dispatching.Outcome.NOT_SENT, null, null);
+        public void send(Attempt attempt) {
+            Place place = byNumber.get(attempt.target);
+            if (place == null || !engine.routes().serving(attempt.target)) {
+                engine.ended(attempt, beechseam.Dispatching.Outcome.NOT_SENT, null, null);
                 return;
             }
-            Try attempt = new Try((Dispatched) hop.request.message, hop, place);
-            hop.carrier = attempt;
+            Try sending = new Try((Dispatched) attempt.request.message, attempt, place);
+            attempt.carrier = sending;
             place.out++;
-            attempt.of.attempts++;
-            hop.begun();
-            if (!run(attempt::send)) {
-                attempt.of.attempts--;
-                attempt.end(beechseam.Dispatching.Outcome.NOT_SENT, null);
+            sending.of.attempts++;
+            attempt.begun();
+            if (!run(sending::send)) {
+                sending.of.attempts--;
+                sending.end(beechseam.Dispatching.Outcome.NOT_SENT, null);
             }
         }
 
         @Override
         @SuppressWarnings("unchecked")
-        public void cancel(Hop hop) {
-            if (hop.carrier != null) {
-                ((Try) hop.carrier).cancel();
+        public void cancel(Attempt attempt) {
+            if (attempt.carrier != null) {
+                ((Try) attempt.carrier).cancel();
             }
         }
 
@@ -544,7 +545,7 @@
     /** One attempt, as the sender sees it. */
     private final class Try implements Sender.Attempt<Q> {
         private final Dispatched of;
-        private final Hop hop;
+        private final Attempt attempt;
         private final Place place;
         private final Target target;
         private final int number;
@@ -552,12 +553,12 @@
         private boolean cancelled;
         private boolean over;
 
-        Try(Dispatched of, Hop hop, Place place) {
+        Try(Dispatched of, Attempt attempt, Place place) {
             this.of = of;
-            this.hop = hop;
+            this.attempt = attempt;
             this.place = place;
             target = place.target;
-            number = hop.number + 1;
+            number = attempt.number + 1;
         }
 
         /** On the executor. */
@@ -577,7 +578,7 @@
                 ? wrong.getCause()
                 : wrong;
             loop.post(() -> {
-                if (cause == null && of.servedBy == null && !hop.over()) {
+                if (cause == null && of.servedBy == null && !attempt.over()) {
                     of.value = value;
                     of.servedBy = target.id();
                 }
@@ -598,7 +599,7 @@
             if (cause != null && !(cause instanceof NeverRanException)) {
                 LOG.log(Level.DEBUG, "an attempt at " + target.id() + " has failed", cause);
             }
-            engine.ended(hop, outcome, null, place.load());
+            engine.ended(attempt, outcome, null, place.load());
             if (place.out == 0 && byId.get(target.id()) != place) {
                 byNumber.remove(place.number);
             }
@@ -631,12 +632,12 @@
 
         @Override
         public Duration remaining() {
-            return Duration.ofNanos(Math.max(0, hop.request.deadlineAt - loop.now()));
+            return Duration.ofNanos(Math.max(0, attempt.request.deadlineAt - loop.now()));
         }
 
         @Override
         public void started() {
-            loop.post(() -> engine.started(hop));
+            loop.post(() -> engine.started(attempt));
         }
 
         @Override
@@ -645,8 +646,8 @@
                 throw new IllegalArgumentException("share: must be from 0 to 1, not " + share);
             }
             loop.post(() -> {
-                engine.progress(hop, share);
-                if (of.progress != null && !hop.over() && !of.isDone()) {
+                engine.progress(attempt, share);
+                if (of.progress != null && !attempt.over() && !of.isDone()) {
                     run(() -> of.progress.accept(target, share));
                 }
             });
--- a/src/main/java/beechseam/load/ListIntake.java
+++ b/src/main/java/beechseam/load/ListIntake.java
@@ -8,7 +8,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.net.TimerQueue;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -107,12 +107,12 @@
     /** No request is taken, so nothing is sent. */
     private static final class NoEgress implements Egress {
         @Override
-        public void send(Hop hop) {
+        public void send(Attempt attempt) {
             throw new IllegalStateException("nothing to send");
         }
 
         @Override
-        public void cancel(Hop hop) {
+        public void cancel(Attempt attempt) {
             throw new IllegalStateException("nothing to cancel");
         }
 
--- a/src/main/java/beechseam/platform/Callbacks.java
+++ b/src/main/java/beechseam/platform/Callbacks.java
@@ -5,7 +5,7 @@
 import beechseam.config.Json;
 import beechseam.config.ModuleOptions;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Request;
 import beechseam.http.Slice;
 import java.io.IOException;
@@ -15,8 +15,8 @@
 
 /**
  * What executors tell of jobs, here or by way of another process of this node. An event may come before the
- * 202, twice, late, or for a request that is long forgotten: whatever finds no hop that is out at its sender
- * is taken and passed over.
+ * 202, twice, late, or for a request that is long forgotten: whatever finds no attempt that is out at its
+ * sender is taken and passed over.
  */
 final class Callbacks {
     private final Engine engine;
@@ -55,23 +55,23 @@
         if (request == null && first && elsewhere.test(body)) {
             return true;
         }
-        Hop hop = request == null ? null : request.hopAt(Wire.target(from));
-        if (hop == null) {
+        Attempt attempt = request == null ? null : request.attemptAt(Wire.target(from));
+        if (attempt == null) {
             engine.counters().lateCallbacks++;
             return true;
         }
         Load load = event.get("load") instanceof Map<?, ?> report ? Wire.load(options, report) : null;
         switch (state) {
-            case "started" -> engine.started(hop);
+            case "started" -> engine.started(attempt);
             case "running" -> {
                 if (event.get("share") instanceof Number share) {
-                    engine.progress(hop, share.doubleValue());
+                    engine.progress(attempt, share.doubleValue());
                 }
             }
-            case "done" -> engine.ended(hop, Outcome.SERVED, result(event.get("result")), load);
-            case "failed" -> engine.ended(hop, Outcome.ERROR, null, load);
-            case "returned" -> engine.ended(hop, Outcome.REFUSED, null, load);
-            case "lost" -> engine.ended(hop, Outcome.LOST, null, load);
+            case "done" -> engine.ended(attempt, Outcome.SERVED, result(event.get("result")), load);
+            case "failed" -> engine.ended(attempt, Outcome.ERROR, null, load);
+            case "returned" -> engine.ended(attempt, Outcome.REFUSED, null, load);
+            case "lost" -> engine.ended(attempt, Outcome.LOST, null, load);
             default -> { } // a state of a later version of the protocol
         }
         return true;
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -94,7 +94,7 @@
         } else if (peerEnded()) {
             node.counters.left++; // gone behind its request: nobody is there to answer, nothing is sent
             node.counters.taken++;
-        } else if (node.crowded() || node.shedding()) {
+        } else if (node.ingress().crowded() || node.shedding()) {
             turnAway(jobClass);
         } else {
             take(m, jobClass, id, budget, key);
@@ -153,12 +153,12 @@
             bad(409, "a request with this X-Correlation-Id is still open");
         } else if (!taken.finished()) {
             request = taken;
-            node.jobs(1);
+            node.ingress().jobs(1);
         }
     }
 
     private void letGo() {
-        node.jobs(request == null ? 0 : -1);
+        node.ingress().jobs(request == null ? 0 : -1);
         request = null;
     }
 
@@ -219,6 +219,6 @@
 
     @Override
     protected void released() {
-        node.released(this);
+        node.ingress().released(this);
     }
 }
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -6,7 +6,7 @@
 import beechseam.config.ModuleOptions;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Timer;
 import beechseam.http.HttpParser;
 import beechseam.http.HttpWriter;
@@ -15,7 +15,7 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 
-/** Hops, their cancels and probes as HTTP exchanges with executors. */
+/** Attempts, their cancels and probes as HTTP exchanges with executors. */
 final class PlatformEgress implements Egress {
     private static final long PROBE_TIMEOUT_NS = 500_000_000L;
 
@@ -33,27 +33,27 @@
     }
 
     @Override
-    public void send(Hop hop) {
-        EgressPool.Target target = pool.target(hop.target);
+    public void send(Attempt attempt) {
+        EgressPool.Target target = pool.target(attempt.target);
         if (target == null) {
-            engine.ended(hop, Outcome.NOT_SENT, null, null);
+            engine.ended(attempt, Outcome.NOT_SENT, null, null);
             return;
         }
-        Handing handing = new Handing(hop, target);
-        hop.carrier = handing;
+        Handing handing = new Handing(attempt, target);
+        attempt.carrier = handing;
         pool.send(target, handing);
     }
 
     @Override
-    public void cancel(Hop hop) {
-        if (hop.carrier instanceof Handing handing) {
+    public void cancel(Attempt attempt) {
+        if (attempt.carrier instanceof Handing handing) {
             handing.giveUp();
         }
     }
 
     @Override
-    public boolean takeBack(Hop hop) {
-        if (hop.carrier instanceof Handing handing) {
+    public boolean takeBack(Attempt attempt) {
+        if (attempt.carrier instanceof Handing handing) {
             handing.takeBack();
         }
         return false;
@@ -71,7 +71,7 @@
 
     /** The job's way to the executor, up to the 202; what comes of it then is told by call-back. */
     private final class Handing extends Exchange {
-        private final Hop hop;
+        private final Attempt attempt;
         private final EgressPool.Target target;
         private boolean accepted;
         private boolean givenUp;
@@ -83,43 +83,43 @@
             }
         };
 
-        Handing(Hop hop, EgressPool.Target target) {
-            this.hop = hop;
+        Handing(Attempt attempt, EgressPool.Target target) {
+            this.attempt = attempt;
             this.target = target;
         }
 
         @Override
         boolean wanted() {
-            return !givenUp && engine.begins(hop);
+            return !givenUp && engine.begins(attempt);
         }
 
         @Override
         ByteBuffer bytes() {
-            JobMessage m = (JobMessage) hop.request.message;
-            long leftMs = Math.max(1, (hop.request.deadlineAt - engine.now()) / 1_000_000L);
+            JobMessage m = (JobMessage) attempt.request.message;
+            long leftMs = Math.max(1, (attempt.request.deadlineAt - engine.now()) / 1_000_000L);
             return HttpWriter.request("POST", m.target(), target.host,
                 m.headers() + "X-Time-Left: " + leftMs + "m\r\n", m.body());
         }
 
         @Override
         void written() {
-            engine.counters().of(hop.request.jobClass).written++;
+            engine.counters().of(attempt.request.jobClass).written++;
             writtenAt = pool.loop.now();
             pool.loop.timers.set(silence, writtenAt + pool.connectTimeoutNs);
         }
 
-        /** A close before the 202 gives the job up at the executor: only once the hop has ended there. */
+        /** A close before the 202 gives the job up at the executor: only once the attempt has ended there. */
         @Override
         boolean outlived(long time) {
-            return hop.over() && time - pool.connectTimeoutNs > writtenAt;
+            return attempt.over() && time - pool.connectTimeoutNs > writtenAt;
         }
 
         /** Its connection has fallen silent, or its machine has: the job may have run, or may yet. */
         private void silent() {
-            if (!hop.over() && !hop.heardOf()) {
+            if (!attempt.over() && !attempt.heardOf()) {
                 engine.counters().silent++;
                 giveUp();
-                engine.ended(hop, Outcome.TIMEOUT, null, null);
+                engine.ended(attempt, Outcome.TIMEOUT, null, null);
             }
         }
 
@@ -134,24 +134,24 @@
             Slice unprocessed = answer.header("x-unprocessed");
             boolean neverRan = (status == 503 || status == 504) && unprocessed != null
                 && unprocessed.same("1");
-            engine.ended(hop, neverRan ? Outcome.REFUSED : Outcome.ERROR, null,
+            engine.ended(attempt, neverRan ? Outcome.REFUSED : Outcome.ERROR, null,
                 Wire.load(options, answer.header("x-backend-load")));
         }
 
         @Override
         void broken(boolean neverRan) {
             pool.loop.timers.cancel(silence);
-            engine.ended(hop, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
+            engine.ended(attempt, neverRan ? Outcome.UNREACHABLE : Outcome.LOST, null, null);
         }
 
         /**
          * Only what is confirmed counts: two calls to two executors may overtake each other, and the second
-         * would have a copy. Before the 202 there is nobody to confirm, and silence ends the hop soon.
+         * would have a copy. Before the 202 there is nobody to confirm, and silence ends the attempt soon.
          */
         void takeBack() {
             if (accepted && !givenUp && !target.gone) {
-                pool.send(target, new Delete(target, hop.request.correlation,
-                    () -> engine.ended(hop, Outcome.CANCELLED, null, null)));
+                pool.send(target, new Delete(target, attempt.request.correlation,
+                    () -> engine.ended(attempt, Outcome.CANCELLED, null, null)));
             }
         }
 
@@ -166,7 +166,7 @@
             givenUp = true;
             pool.loop.timers.cancel(silence);
             if (accepted && !target.gone) {
-                pool.send(target, new Delete(target, hop.request.correlation, () -> { }));
+                pool.send(target, new Delete(target, attempt.request.correlation, () -> { }));
             } else if (connection != null) {
                 connection.abandon();
             }
@@ -205,7 +205,7 @@
 
         @Override
         void broken(boolean neverRan) {
-            // A hop that was given up has ended here; one that was to be taken back stays out.
+            // An attempt that was given up has ended here; one that was to be taken back stays out.
         }
     }
 
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -17,18 +17,12 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.nio.channels.SocketChannel;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Objects;
-import java.util.Set;
 
 /** A node on the platform's protocol: one listener, one core, the way to the executors, and discovery. */
 public final class PlatformNode implements Operations {
     private static final Logger LOG = System.getLogger(PlatformNode.class.getName());
     private static final long SWEEP_NS = 250_000_000L;
-    /** A connection just accepted is likely to bring its request in the next turns. */
-    private static final long FRESH_NS = 100_000_000L;
     /**
      * The platform kills a node so long after SIGTERM and the longest deadline, which counts as
      * {@link #MOST_COUNTED_NS} at most. The last answers leave {@link #KILL_MARGIN_NS} before, and clients
@@ -38,11 +32,10 @@
     private static final long MOST_COUNTED_NS = 3_000_000_000L;
     private static final long KILL_MARGIN_NS = 300_000_000L;
     private static final long LAST_REQUEST_NS = 1_000_000_000L;
-    private static final long QUIET_NS = 200_000_000L;
     private static final long DRAIN_CHECK_NS = 20_000_000L;
     /**
-     * Descriptors kept back from clients and hops: one turn's accepts, each of which may close another that
-     * the runtime lets go only at the turn's end; discovery's calls; the runtime's selector and files.
+     * Descriptors kept back from clients and attempts: one turn's accepts, each of which may close another
+     * that the runtime lets go only at the turn's end; discovery's calls; the runtime's selector and files.
      */
     private static final int RUNTIME_FILES = 24;
     private static final int SPARE_SOCKETS = Listener.AT_ONCE + ListWatch.MAX_PENDING_CALLS + RUNTIME_FILES;
@@ -58,16 +51,14 @@
     final Engine engine;
     final Callbacks callbacks;
     final Maintenance maintenance;
-    private final StatsReport figures;
+    private final StatsReport statsReport;
     private final EgressPool pool;
     private final Discovery discovery;
-    private final AdminEndpoint door;
+    private final AdminEndpoint admin;
     private final Succession succession;
     private Listener listener;
-    private final Set<IngressConnection> ingress = new LinkedHashSet<>();
+    private final IngressTable ingress = new IngressTable(this);
     private NodeConfig config;
-    private int mostIngress;
-    private int jobs;
     private final Timer sweep = new Timer() {
         @Override
         protected void fire() {
@@ -82,7 +73,7 @@
     };
     private boolean stopping;
     private Runnable stopped;
-    private DrainSchedule departure = DrainSchedule.NONE;
+    private DrainSchedule drainSchedule = DrainSchedule.NONE;
 
     public PlatformNode(EventLoop loop, NodeConfig config) throws IOException {
         this.loop = loop;
@@ -92,7 +83,7 @@
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
-        figures = new StatsReport(engine, options.settings.classes());
+        statsReport = new StatsReport(engine, options.settings.classes());
         counters.confLoaded++;
         callbacks = new Callbacks(engine, options, this::elsewhere);
         boolean keeps = config.console() != null && config.state() != null;
@@ -109,13 +100,14 @@
             maintenance.restore();
             listen();
         }
-        door = config.console() == null ? null : new AdminEndpoint(loop, config.console(), this);
+        admin = config.console() == null ? null : new AdminEndpoint(loop, config.console(), this);
         loop.timers.set(sweep, loop.now() + SWEEP_NS);
     }
 
     /** Takes clients, on an address that a successor may share later. */
     void listen() throws IOException {
-        listener = new Listener(loop, config.listen(), this::accept, succession != null);
+        listener = new Listener(loop, config.listen(), ingress::accept, succession != null);
+        ingress.listener(listener);
         LOG.log(Level.INFO, config.name() + " listens on " + listener.address());
     }
 
@@ -137,11 +129,8 @@
         int granted = config.sockets() / (succession == null ? 1 : succession.processes());
         int sockets = Math.max(16, granted - SPARE_SOCKETS);
         int mostEgress = sockets * 3 / 8;
-        mostIngress = sockets - mostEgress - 1;
+        ingress.bound(sockets - mostEgress - 1);
         pool.bound(mostEgress, Math.max(4, mostEgress / 4));
-        if (listening() && ingress.size() < room()) {
-            listener.accepting(true);
-        }
     }
 
     /**
@@ -181,80 +170,13 @@
 
     /** The operators' address, or null. */
     public InetSocketAddress console() throws IOException {
-        return door == null ? null : door.address();
+        return admin == null ? null : admin.address();
     }
 
     public Counters counters() {
         return counters;
     }
 
-    /**
-     * How many connections there may be: the bound, but always room for call-backs beside the jobs held.
-     * These may be more than the bound allows where another process of the node has just taken half of it.
-     */
-    private int room() {
-        return Math.max(mostIngress, jobs + mostIngress / 4);
-    }
-
-    private void accept(SocketChannel channel) throws IOException {
-        // More than one where the bound has been lowered: else the listener would stay shut beside idle ones.
-        IngressConnection least = ingress.size() >= room() ? leastOfUse() : null;
-        while (least != null) {
-            if (least.ending()) {
-                least.close();
-            } else {
-                least.closeUnlessAsked(); // if it has asked meanwhile the next choice is another
-            }
-            least = ingress.size() >= room() ? leastOfUse() : null;
-        }
-        ingress.add(new IngressConnection(this, channel));
-        if (ingress.size() > room()) {
-            listener.accepting(false); // the next wait in the kernel until one here ends
-        }
-    }
-
-    /**
-     * The connection that is missed least, or null where all are owed an answer: one that has had its last
-     * answer; one that was opened and says nothing; one that has served and is idle, longest first; one whose
-     * first request is still not whole.
-     */
-    private IngressConnection leastOfUse() {
-        long now = loop.now();
-        IngressConnection idlest = null;
-        IngressConnection unused = null;
-        for (IngressConnection each : ingress) { // in the order of their accepts
-            if (each.ending() && each.unwritten() == 0) {
-                return each;
-            }
-            if (each.unused()) {
-                if (each.idle() && now - each.lastActivity() > FRESH_NS) {
-                    return each;
-                }
-                unused = unused == null ? each : unused;
-            } else if (each.idle() && (idlest == null || each.lastActivity() < idlest.lastActivity())) {
-                idlest = each;
-            }
-        }
-        return idlest != null ? idlest : unused;
-    }
-
-    /** Whether so many jobs are open that another would take the place of call-backs and health checks. */
-    boolean crowded() {
-        return jobs >= mostIngress * 3 / 4;
-    }
-
-    /** A connection begins to hold a job ({@code 1}), or holds it no more ({@code -1}). */
-    void jobs(int change) {
-        jobs += change;
-    }
-
-    void released(IngressConnection connection) {
-        ingress.remove(connection);
-        if (ingress.size() < room()) {
-            listener.accepting(true);
-        }
-    }
-
     /** What the node says of its health; whose clients another process takes must not speak against it. */
     boolean ready() {
         return handedOver() || notServing(discovery.freshness().hasOpened()) == null;
@@ -265,6 +187,10 @@
         return discovery.freshness().state();
     }
 
+    IngressTable ingress() {
+        return ingress;
+    }
+
     boolean handedOver() {
         return succession != null && succession.handedOver();
     }
@@ -284,12 +210,12 @@
     }
 
     boolean standby() {
-        return !stopping && departure != DrainSchedule.NONE;
+        return !stopping && drainSchedule != DrainSchedule.NONE;
     }
 
     @Override
     public String stats() {
-        return figures.lines();
+        return statsReport.lines();
     }
 
     @Override
@@ -315,8 +241,8 @@
         if (stopping) {
             return "stopping";
         }
-        if (on != (departure != DrainSchedule.NONE)) {
-            departure = on ? DrainSchedule.standby(loop.now()) : DrainSchedule.NONE;
+        if (on != (drainSchedule != DrainSchedule.NONE)) {
+            drainSchedule = on ? DrainSchedule.standby(loop.now()) : DrainSchedule.NONE;
             LOG.log(Level.INFO, on ? "standby: clients are sent away" : "active: clients are served");
             drained();
             tell(on ? "standby" : "active");
@@ -326,24 +252,22 @@
 
     /** Whether clients are sent away: not yet at SIGTERM, for the other nodes may be restarting as well. */
     boolean leaving() {
-        return loop.now() >= departure.leavesAt();
+        return loop.now() >= drainSchedule.leavesAt();
     }
 
     /** The same for a connection that has carried call-backs. */
     boolean leavingCallbacks() {
-        return leaving() && !departure.sparesCallbacks();
+        return leaving() && !drainSchedule.sparesCallbacks();
     }
 
     /** Whether further jobs are turned away. */
     boolean shedding() {
-        return loop.now() >= departure.shedsAt();
+        return loop.now() >= drainSchedule.shedsAt();
     }
 
     private void sweep() {
         long now = loop.now();
-        for (IngressConnection each : List.copyOf(ingress)) {
-            each.sweep(now);
-        }
+        ingress.sweep(now);
         pool.sweep(now);
         loop.timers.set(sweep, now + SWEEP_NS);
     }
@@ -361,7 +285,7 @@
             long last = KILL_NS + Math.min(MOST_COUNTED_NS, longest) - KILL_MARGIN_NS;
             engine.lastAnswer(loop.now() + last);
             // On standby clients have found other nodes: nothing is waited for.
-            long late = departure != DrainSchedule.NONE ? loop.now()
+            long late = drainSchedule != DrainSchedule.NONE ? loop.now()
                 : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             depart(late);
@@ -377,7 +301,7 @@
     void depart(long late) {
         boolean before = handedOver();
         boolean handsOver = succession != null && succession.handOver();
-        departure = handsOver ? DrainSchedule.handOver(loop.now(), late) : DrainSchedule.stop(late);
+        drainSchedule = handsOver ? DrainSchedule.handOver(loop.now(), late) : DrainSchedule.stop(late);
         if (handsOver && !before) {
             LOG.log(Level.INFO, "clients go to the other process of this node");
             listener.closeWhenEmpty();
@@ -393,26 +317,23 @@
 
     /** A successor has come or gone while this process ends. */
     void departAgain() {
-        depart(departure.clearsAt());
+        depart(drainSchedule.clearsAt());
     }
 
     private void drained() {
         long now = loop.now();
-        if (now >= departure.clearsAt()) {
-            // One just accepted looks idle until its first bytes are read: a call-back may be on its way.
-            List.copyOf(ingress).stream().filter(each -> each.idle() && now - each.lastActivity() > QUIET_NS
-                && !(each.callbacks() && departure.sparesCallbacks()))
-                .forEach(IngressConnection::closeUnlessAsked);
+        if (now >= drainSchedule.clearsAt()) {
+            ingress.closeIdle(now, drainSchedule.sparesCallbacks());
         }
         // The listener stays to the last where it is the only one: call-backs come to it.
-        if (stopping && leaving() && engine.open() == 0 && ingress.stream()
-            .allMatch(each -> each.callbacks() && departure.sparesCallbacks() && each.idle())) {
+        if (stopping && leaving() && engine.open() == 0
+            && ingress.drained(drainSchedule.sparesCallbacks())) {
             if (listener != null) {
                 listener.close();
             }
-            List.copyOf(ingress).forEach(IngressConnection::close);
-            if (door != null) {
-                door.close();
+            ingress.closeAll();
+            if (admin != null) {
+                admin.close();
             }
             if (succession != null) {
                 succession.close();
@@ -421,7 +342,7 @@
             pool.close();
             loop.timers.cancel(sweep);
             stopped.run();
-        } else if (departure != DrainSchedule.NONE) {
+        } else if (drainSchedule != DrainSchedule.NONE) {
             loop.timers.set(drain, now + DRAIN_CHECK_NS);
         }
     }
--- a/src/test/java/beechseam/VirtualDay.java
+++ b/src/test/java/beechseam/VirtualDay.java
@@ -4,7 +4,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
 import beechseam.core.Timer;
@@ -117,7 +117,7 @@
                     i.remove();
                     running.add(job);
                     double time = job.work / (speed * ramp()) * slow;
-                    after(WAY, () -> job.tell(e -> e.started(job.hop)));
+                    after(WAY, () -> job.tell(e -> e.started(job.attempt)));
                     after((long) time, () -> {
                         if (running.remove(job)) {
                             end(job, Outcome.SERVED);
@@ -133,7 +133,7 @@
         private void end(Job job, Outcome outcome) {
             Load load = shown;
             if (!silent && !fell) {
-                after(WAY, () -> job.tell(e -> e.ended(job.hop, outcome, new byte[0], load)));
+                after(WAY, () -> job.tell(e -> e.ended(job.attempt, outcome, new byte[0], load)));
             }
         }
 
@@ -148,7 +148,7 @@
     private static final class Job {
         Node node;
         Engine engine;
-        Hop hop;
+        Attempt attempt;
         double work;
         double need;
         boolean gone;
@@ -209,30 +209,30 @@
         }
 
         @Override
-        public void send(Hop hop) {
-            Box box = boxes.get(hop.target);
-            Asked asked = (Asked) hop.request.message;
-            sends.merge(hop.target, 1, Integer::sum);
-            hop.begun();
+        public void send(Attempt attempt) {
+            Box box = boxes.get(attempt.target);
+            Asked asked = (Asked) attempt.request.message;
+            sends.merge(attempt.target, 1, Integer::sum);
+            attempt.begun();
             if (now - settings.rules().drainGraceNs() > box.toldDraining) {
                 broken.add("sent to " + box.id + " after its drain");
             }
-            asked.sentTo(box, hop.request.correlation);
+            asked.sentTo(box, attempt.request.correlation);
             Job job = new Job();
             job.node = this;
             job.engine = engine;
-            job.hop = hop;
+            job.attempt = attempt;
             job.work = asked.work;
             job.need = asked.need;
             job.toldBorn = toldOf.getOrDefault(box, 0L);
-            hop.carrier = job;
+            attempt.carrier = job;
             long way = WAY + (box.zone.equals(zone()) ? 0 : MS);
             after(way, () -> box.take(job));
         }
 
         @Override
-        public void cancel(Hop hop) {
-            after(WAY, () -> boxes.get(hop.target).cancel((Job) hop.carrier));
+        public void cancel(Attempt attempt) {
+            after(WAY, () -> boxes.get(attempt.target).cancel((Job) attempt.carrier));
         }
 
         @Override
--- a/src/test/java/beechseam/core/EngineTest.java
+++ b/src/test/java/beechseam/core/EngineTest.java
@@ -49,7 +49,7 @@
     private static final class World implements Egress, Ingress {
         final TimerQueue timers = new TimerQueue();
         final Counters counters = new Counters();
-        final List<Hop> out = new ArrayList<>();
+        final List<Attempt> out = new ArrayList<>();
         final List<Request> taken = new ArrayList<>();
         final Map<Request, String> answers = new HashMap<>();
         final Engine engine;
@@ -95,25 +95,25 @@
         }
 
         @Override
-        public void send(Hop hop) {
+        public void send(Attempt attempt) {
             assertTrue(gate.open, "sent though the gate is closed");
-            assertFalse(hop.request.finished(), "sent after the final answer");
-            assertTrue(engine.routes().serving(hop.target), "sent to a target that is not in service");
-            assertNull(answers.get(hop.request));
+            assertFalse(attempt.request.finished(), "sent after the final answer");
+            assertTrue(engine.routes().serving(attempt.target), "sent to a target that is not in service");
+            assertNull(answers.get(attempt.request));
             assertFalse(sending, "the module was entered while it acts");
             if (failAtOnce) { // the way a refused connect on loopback reports itself
                 sending = true;
-                engine.ended(hop, Outcome.UNREACHABLE, null, null);
+                engine.ended(attempt, Outcome.UNREACHABLE, null, null);
                 sending = false;
             } else {
-                hop.begun();
-                out.add(hop);
+                attempt.begun();
+                out.add(attempt);
             }
         }
 
         @Override
-        public void cancel(Hop hop) {
-            assertTrue(out.remove(hop), "cancelled a hop that is not out");
+        public void cancel(Attempt attempt) {
+            assertTrue(out.remove(attempt), "cancelled a hop that is not out");
         }
 
         @Override
@@ -151,7 +151,7 @@
         Random random = new Random(seed);
         List<Request> left = new ArrayList<>();
         for (int step = 0; step < 120; step++) {
-            Hop hop = w.out.isEmpty() ? null : w.out.get(random.nextInt(w.out.size()));
+            Attempt attempt = w.out.isEmpty() ? null : w.out.get(random.nextInt(w.out.size()));
             switch (random.nextInt(10)) {
                 case 9 -> {
                     w.gate.open = !w.gate.open;
@@ -171,18 +171,18 @@
                     }
                 }
                 case 6 -> {
-                    if (hop != null) {
-                        w.engine.started(hop);
-                        w.engine.progress(hop, random.nextDouble());
+                    if (attempt != null) {
+                        w.engine.started(attempt);
+                        w.engine.progress(attempt, random.nextDouble());
                     }
                 }
                 default -> {
-                    if (hop != null) {
+                    if (attempt != null) {
                         Outcome[] all = {Outcome.SERVED, Outcome.ERROR, Outcome.REFUSED, Outcome.LOST};
-                        w.out.remove(hop);
+                        w.out.remove(attempt);
                         Outcome how = all[random.nextInt(all.length)];
-                        w.engine.ended(hop, how, new byte[0], new Load(1, 0, 3, Double.NaN, 0.2));
-                        w.engine.ended(hop, Outcome.SERVED, new byte[0], null); // told twice: passed over
+                        w.engine.ended(attempt, how, new byte[0], new Load(1, 0, 3, Double.NaN, 0.2));
+                        w.engine.ended(attempt, Outcome.SERVED, new byte[0], null); // told twice: passed over
                     }
                 }
             }
@@ -220,17 +220,17 @@
         assertEquals(1, w.counters.ended(Outcome.TIMEOUT));
     }
 
-    /** A hop may wait for a connection until the time in which its request may be repeated is over. */
+    /** An attempt may wait for a connection until the time in which its request may be repeated is over. */
     @Test
     void aRepeatThatHasWaitedPastTheWindowDoesNotBegin() {
         World w = new World(Effect.KEYED);
         w.engine.routes(ListForm.FULL, List.of(new Worker(1, 0, "z", "k", 0, State.READY),
             new Worker(2, 0, "z", "k", 0, State.READY)));
         Request r = w.take("a");
-        Hop first = w.out.remove(0);
+        Attempt first = w.out.remove(0);
         assertTrue(w.engine.begins(first));
         w.engine.ended(first, Outcome.LOST, null, null);
-        Hop second = w.out.get(0);
+        Attempt second = w.out.get(0);
         w.pass(1900 * MS);
         assertTrue(w.engine.begins(second), "the window is 2 s");
         w.pass(101 * MS);
@@ -242,17 +242,17 @@
         assertEquals(1, w.counters.withheld);
     }
 
-    /** Its answer is given, or its target drains, while a hop waits: it does not begin. */
+    /** Its answer is given, or its target drains, while an attempt waits: it does not begin. */
     @Test
     void aHopThatNobodyNeedsOrWhoseTargetDrainsDoesNotBegin() {
         World w = new World(Effect.SAFE);
         w.take("a");
-        Hop drained = w.out.remove(0);
+        Attempt drained = w.out.remove(0);
         w.list(0, State.READY);
         assertFalse(w.engine.begins(drained));
         w.list(3, State.READY);
         Request r = w.take("b");
-        Hop unwanted = w.out.stream().filter(each -> each.request == r).findFirst().orElseThrow();
+        Attempt unwanted = w.out.stream().filter(each -> each.request == r).findFirst().orElseThrow();
         r.finished = true;
         assertFalse(w.engine.begins(unwanted));
         assertTrue(drained.over() && unwanted.over());
@@ -310,16 +310,16 @@
     void anAttemptThatHasNotBegunWaitsForTheGate() {
         World w = new World(Effect.UNSAFE);
         w.take("a");
-        Hop hop = w.out.remove(0);
+        Attempt attempt = w.out.remove(0);
         w.gate.open = false;
-        assertFalse(w.engine.begins(hop));
-        assertFalse(hop.over());
+        assertFalse(w.engine.begins(attempt));
+        assertFalse(attempt.over());
         w.engine.resume();
         assertTrue(w.out.isEmpty(), "still closed");
         w.gate.open = true;
         w.engine.resume();
-        assertEquals(List.of(hop), w.out);
-        assertTrue(w.engine.begins(hop));
+        assertEquals(List.of(attempt), w.out);
+        assertTrue(w.engine.begins(attempt));
         assertEquals(1, w.counters.sent);
     }
 
@@ -329,14 +329,14 @@
         World w = new World(Effect.UNSAFE);
         w.list(1, State.READY);
         w.take("a");
-        Hop hop = w.out.remove(0);
+        Attempt attempt = w.out.remove(0);
         w.gate.open = false;
-        assertFalse(w.engine.begins(hop));
+        assertFalse(w.engine.begins(attempt));
         w.engine.routes(ListForm.FULL, List.of(new Worker(1, 1, "z", "k", 0, State.DRAINING),
             new Worker(2, 0, "z", "k", 0, State.READY)));
         w.gate.open = true;
         w.engine.resume();
-        assertTrue(hop.over());
+        assertTrue(attempt.over());
         assertEquals(List.of(2L), w.out.stream().map(each -> each.target).toList());
     }
 
@@ -345,8 +345,8 @@
         World w = new World(Effect.SAFE);
         Request r = w.take("a");
         assertNull(w.take("a"));
-        Hop hop = w.out.remove(0);
-        w.engine.ended(hop, Outcome.SERVED, "ok".getBytes(), null);
+        Attempt attempt = w.out.remove(0);
+        w.engine.ended(attempt, Outcome.SERVED, "ok".getBytes(), null);
         assertEquals("served ok", w.answers.get(r));
         assertNotNull(w.take("a"), "it is free again");
     }
--- a/src/test/java/beechseam/platform/CrossingsTest.java
+++ b/src/test/java/beechseam/platform/CrossingsTest.java
@@ -4,7 +4,7 @@
 
 import beechseam.Dispatching.Outcome;
 import beechseam.Loopback.Peer;
-import beechseam.core.Hop;
+import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
 import java.io.IOException;
@@ -111,7 +111,7 @@
         Peer client = connected().say(job("c1", "safe"));
         net.until("the hop", () -> written() == before + 1);
         Request r = node.engine.find("c1");
-        Hop first = r.hopAt(TARGET) != null ? r.hopAt(TARGET) : r.hopAt(0xbeefL);
+        Attempt first = r.attemptAt(TARGET) != null ? r.attemptAt(TARGET) : r.attemptAt(0xbeefL);
         client.close();
         node.engine.ended(first, Outcome.REFUSED, null, null); // before the loop has read the close
         net.until("the leaving", () -> node.counters.left == 1);
@@ -120,7 +120,7 @@
         assertNull(node.engine.find("c1"));
     }
 
-    /** Where nothing may be cancelled a hop that waits for a connection outlives its client. */
+    /** Where nothing may be cancelled an attempt that waits for a connection outlives its client. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aClientGoneWhileItsHopWaitsForAConnectionGetsNoAttempt(boolean cancel) {
@@ -158,7 +158,7 @@
     void whatIsTakenIsAnsweredThoughMoreCameBehindThanABufferHolds() {
         listed(SETTINGS, false);
         Peer client = connected().say(job("c1", "once"));
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         client.say(job("c2", "once").repeat(1500));
         net.until("all is out", () -> client.unwritten() == 0);
         net.settle(100); // and read
@@ -177,7 +177,7 @@
     void anIdleConnectionThatItsPeerHasClosedIsNotUsed() {
         listed(SETTINGS, false);
         Peer client = connected().say(job("c1", "once"));
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         done("c1", "one");
         heard(client, "one");
         net.settle(20);
@@ -186,7 +186,7 @@
         Object message = new JobMessage("/once/x", "X-Correlation-Id: c2\r\n", "body".getBytes());
         // Before the loop has read that close.
         node.engine.take("c2", 1, 30_000_000_000L, 1, 0, message, answers);
-        hop(1, "c2").say(answer("202 Accepted", ""));
+        attempt(1, "c2").say(answer("202 Accepted", ""));
         done("c2", "two");
         net.until("the answer", () -> answers.said.equals("served two"));
         assertEquals(0, node.counters.ended(Outcome.LOST));
@@ -202,7 +202,7 @@
         net.until("all connections busy", () -> written() == CONNECTIONS
             && node.counters.sent == CONNECTIONS + 1);
         executor.get(0).say(answer("202 Accepted", "") + answer("500 Oops", ""));
-        hop(CONNECTIONS, "c");
+        attempt(CONNECTIONS, "c");
         net.settle(50);
         assertEquals(0, node.counters.ended(Outcome.ERROR));
         assertTrue(executor.get(0).gone);
@@ -213,10 +213,10 @@
     void aSecondAnswerThatComesLateIsNotTakenForThatToTheNextRequest() {
         listed(SETTINGS, false);
         ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         net.settle(3);
         ask("c2", "once", "30000m");
-        hop(1, "c2");
+        attempt(1, "c2");
         executor.get(0).say(answer("500 Oops", ""));
         net.until("the end of the first connection", () -> executor.get(0).gone);
         executor.get(1).say(answer("202 Accepted", ""));
@@ -232,7 +232,7 @@
     void anAnswerThatTricklesWithoutEndDoesNotKeepItsConnection() {
         listed(SETTINGS, false);
         Peer client = connected().say(job("c1", "once"));
-        Peer trickling = hop(0, "c1").say("HTTP/1.1 202 Acc");
+        Peer trickling = attempt(0, "c1").say("HTTP/1.1 202 Acc");
         event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
         for (int i = 0; i < 30; i++) {
             trickling.say("e");
@@ -253,7 +253,7 @@
     void aConnectionToAnExecutorThatIsListedNoMoreIsFreed() {
         listed(SETTINGS, false);
         Peer client = connected().say(job("c1", "once"));
-        Peer silent = hop(0, "c1");
+        Peer silent = attempt(0, "c1");
         event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
         call(0, "after=2&");
         discovery.get(0).say(answer("200 OK", list(3, "")));
@@ -282,7 +282,7 @@
         listed(SETTINGS, false);
         Peer caller = connected();
         Peer client = ask("c1", "once", "600m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         net.settle(20);
         String event = "{\"id\":\"c1\",\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":\"late\"}";
         caller.say("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + event.length() + "\r\n\r\n" + event);
@@ -369,7 +369,7 @@
     void secondSignalsInADrainChangeNothingButWhatTheyShould() throws Exception {
         listed(SETTINGS, false);
         Peer client = connected().say(job("c1", "once"));
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         node.stop(() -> stopped = true);
         node.stop(() -> fail("the end is told once"));
         List<Peer> moved = new ArrayList<>();
@@ -397,7 +397,7 @@
         node.stop(() -> stopped = true);
         net.until("the time to leave", node::leaving); // the next look at resting connections closes it
         resting.say(job("c1", "once"));
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         done("c1", "through");
         String got = heard(resting, "through");
         assertTrue(got.startsWith("HTTP/1.1 200") && got.contains("Connection: close"), got);
--- a/src/test/java/beechseam/platform/DiscoveryListTest.java
+++ b/src/test/java/beechseam/platform/DiscoveryListTest.java
@@ -106,7 +106,7 @@
         assertEquals(servers, node.engine.routes().size());
         assertTrue(node.ready());
         Peer client = ask("c1", "safe", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         net.until("served", () -> node.counters.current() == 1);
         assertFalse(client.gone);
         assertEquals(0, warnings());
--- a/src/test/java/beechseam/platform/NodeRig.java
+++ b/src/test/java/beechseam/platform/NodeRig.java
@@ -120,7 +120,7 @@
             + "\",\"load\":{\"x0\":3,\"inflight\":1}");
     }
 
-    Peer hop(int connection, String id) {
+    Peer attempt(int connection, String id) {
         net.until("the hop of " + id, () -> executor.size() > connection
             && executor.get(connection).heard().contains("X-Correlation-Id: " + id) && whole(connection));
         return executor.get(connection);
--- a/src/test/java/beechseam/platform/PlatformNodeTest.java
+++ b/src/test/java/beechseam/platform/PlatformNodeTest.java
@@ -36,7 +36,7 @@
     @Test
     void aJobPassesOnUnchangedAndItsResultComesBack() {
         Peer client = ask("c1", "keyed", "30000m");
-        String sent = hop(0, "c1").take();
+        String sent = attempt(0, "c1").take();
         assertTrue(sent.startsWith("POST /keyed/x?key=7 HTTP/1.1\r\n"), sent);
         assertTrue(sent.contains("Idempotency-Key: k1\r\n"), sent);
         assertTrue(sent.matches("(?s).*X-Time-Left: (29\\d\\d\\d|30000)m\r\n.*"), sent);
@@ -57,13 +57,13 @@
     @Test
     void aCallbackBeforeTheAcceptanceCountsAndTheConnectionLivesOn() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").take();
+        attempt(0, "c1").take();
         done("c1", "early");
         heard(client, "early");
         executor.get(0).say(answer("202 Accepted", ""));
         rested();
         ask("c2", "once", "30000m");
-        hop(0, "c2");
+        attempt(0, "c2");
         assertEquals(1, executor.size());
         assertFalse(executor.get(0).heard().contains("DELETE"), "what is done is not given up");
     }
@@ -71,7 +71,7 @@
     @Test
     void anEventFromAnotherExecutorIsNotTheHops() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         event("c1", "\"from\":\"s-0000beef\",\"state\":\"failed\"");
         event("c1", "\"from\":\"nonsense\",\"state\":\"done\"");
         done("c1", "mine");
@@ -100,12 +100,14 @@
     @Test
     void aBreakBeforeTheAcceptanceMayHaveRun() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").close();
+        attempt(0, "c1").close();
         net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
         assertEquals(1, node.counters.sent, "not sent again");
     }
 
-    /** A drain told while hops wait for a connection: the route table is asked again at the first byte. */
+    /**
+     * A drain told while attempts wait for a connection: the route table is asked again at the first byte.
+     */
     @Test
     void nothingIsWrittenToATargetThatDrainsMeanwhile() {
         for (int i = 0; i < 10; i++) {
@@ -156,7 +158,7 @@
     @Test
     void whatRunsIsNotTakenBack() {
         Peer client = ask("c1", "safe", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
         net.settle(200);
         assertFalse(executor.get(0).heard().contains("DELETE"), "what runs stays where it is");
@@ -168,7 +170,7 @@
     @Test
     void theDeadlineEndsASilentHopInTimeAndGivesItUp() {
         Peer client = ask("c1", "once", "400m");
-        hop(0, "c1").take();
+        attempt(0, "c1").take();
         executor.get(0).say(answer("202 Accepted", ""));
         net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
         net.until("the hop given up", () -> executor.get(0).heard().startsWith("DELETE /jobs/c1 HTTP/1.1"));
@@ -177,30 +179,32 @@
     @Test
     void aClientThatLeavesIsForgotten() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").take();
+        attempt(0, "c1").take();
         client.close();
         net.until("the leaving", () -> node.counters.left == 1);
         assertEquals(0, node.engine.open());
     }
 
-    /** A machine that vanishes never sends its 202: given up, the hop must not keep its connection. */
+    /** A machine that vanishes never sends its 202: given up, the attempt must not keep its connection. */
     @Test
     void aHopGivenUpBeforeItsAcceptanceFreesItsConnection() {
         Peer client = ask("c1", "once", "300m");
-        hop(0, "c1");
+        attempt(0, "c1");
         net.until("an answer", () -> client.heard().startsWith("HTTP/1.1 502"));
         net.until("the close", () -> executor.get(0).gone);
         ask("c2", "once", "30000m");
-        hop(1, "c2");
+        attempt(1, "c2");
     }
 
-    /** A connection that falls silent costs its hop a moment, not the target its jobs until a deadline. */
+    /**
+     * A connection that falls silent costs its attempt a moment, not the target its jobs until a deadline.
+     */
     @Test
     void aHopThatNobodyAcknowledgesEndsSoonAndItsConnectionIsClosed() {
         Peer lost = ask("c1", "once", "30000m");
-        hop(0, "c1");
+        attempt(0, "c1");
         Peer heardOf = ask("c2", "once", "30000m");
-        hop(1, "c2");
+        attempt(1, "c2");
         event("c2", "\"from\":\"s-0badcafe\",\"state\":\"started\""); // it runs: only its 202 is missing
         net.until("an answer", () -> lost.heard().startsWith("HTTP/1.1 502"));
         net.until("the close", () -> executor.get(0).gone);
@@ -215,7 +219,7 @@
     void aConnectionThatStandsAsLongAsOneThatBrokeIsNotUsedAgain() {
         for (int i = 0; i < 2; i++) { // the second is the kept one, and breaks at its next request
             Peer client = ask("c" + i, "once", "30000m");
-            hop(0, "c" + i);
+            attempt(0, "c" + i);
             executor.get(0).take();
             if (i == 0) {
                 executor.get(0).say(answer("202 Accepted", ""));
@@ -228,19 +232,19 @@
             }
         }
         Peer client = ask("c2", "once", "30000m");
-        hop(1, "c2").say(answer("202 Accepted", ""));
+        attempt(1, "c2").say(answer("202 Accepted", ""));
         done("c2", "r");
         heard(client, "r");
         net.settle(150);
         ask("c3", "once", "30000m");
-        hop(2, "c3");
+        attempt(2, "c3");
     }
 
     /** A full list removes what it lacks; a silent discovery leaves the node serving. */
     @Test
     void discoveryIsWatchedAndMayBeSilent() {
         Peer client = ask("c1", "safe", "30000m");
-        hop(0, "c1").take();
+        attempt(0, "c1").take();
         discovery.get(0).take();
         discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
         net.until("the watch", () -> discovery.get(0).heard().startsWith(
@@ -266,7 +270,7 @@
     @Test
     void discoveryMovesWithoutLosingTheRouteTable() throws Exception {
         Peer client = ask("c1", "safe", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         discovery.get(0).say(answer("200 OK", list(41, row("SERVING"))));
         net.until("the watch", () -> discovery.get(0).heard().contains("after=41&"));
         List<Peer> moved = new ArrayList<>();
@@ -362,7 +366,7 @@
     @Test
     void aCrowdThatSaysNothingKeepsNobodyOut() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         Peer idle = client().say("GET /_health HTTP/1.1\r\n\r\n");
         heard(idle, "ready\n");
         List<Peer> crowd = new ArrayList<>();
@@ -405,7 +409,7 @@
         Peer over = ask("over", "once", "30000m");
         net.until("an answer", () -> over.heard().startsWith("HTTP/1.1 503"));
         assertTrue(over.heard().contains("Retry-After: 1.500\r\n"));
-        hop(0, "c0").say(answer("202 Accepted", ""));
+        attempt(0, "c0").say(answer("202 Accepted", ""));
         done("c0", "through");
         heard(clients.get(0), "through");
         Peer next = ask("next", "once", "30000m");
@@ -438,7 +442,7 @@
     @Test
     void aPlannedEndAnswersAllThatWasTaken() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").take();
+        attempt(0, "c1").take();
         executor.get(0).say(answer("202 Accepted", ""));
         node.stop(() -> stopped = true);
         Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
@@ -449,7 +453,7 @@
         assertTrue(node.leaving() || !one.contains("Connection: close\r\n"), one);
         rested();
         Peer late = ask("c2", "once", "30000m");
-        hop(0, "c2");
+        attempt(0, "c2");
         executor.get(0).say(answer("202 Accepted", ""));
         net.until("the time to leave", node::leaving);
         assertFalse(stopped, "a job is open");
@@ -464,7 +468,7 @@
     @Test
     void standbySendsClientsAwayAndActiveTakesThemAgain() throws Exception {
         Peer early = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         executor.get(0).take();
         Peer caller = client().say("POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
         Peer idle = client().say("GET /_health HTTP/1.1\r\n\r\n");
@@ -478,7 +482,7 @@
         net.until("an answer", () -> health.heard().startsWith("HTTP/1.1 503"));
         rested();
         Peer second = ask("c2", "once", "30000m"); // the front sends new clients for a moment more
-        hop(0, "c2").say(answer("202 Accepted", ""));
+        attempt(0, "c2").say(answer("202 Accepted", ""));
         done("c2", "two");
         assertTrue(heard(second, "two").contains("Connection: close\r\n"));
         net.until("idle and silent ones away", () -> idle.gone && silent.gone);
@@ -493,12 +497,12 @@
         assertEquals("OK\n", operator(node.console(), "active"));
         assertEquals("OK\n", operator(node.console(), "status"));
         Peer back = ask("c4", "once", "30000m");
-        hop(0, "c4");
+        attempt(0, "c4");
         done("c4", "four");
         assertFalse(heard(back, "four").contains("Connection: close"));
     }
 
-    /** Each job in one figure, a hop once its last byte is out; what is answered is not current. */
+    /** Each job in one figure, an attempt once its last byte is out; what is answered is not current. */
     @Test
     void theFiguresTellWhatHasCrossedTheSockets() throws Exception {
         for (int i = 0; i < 10; i++) {
@@ -510,7 +514,7 @@
         done("c0", "r");
         event("c1", "\"from\":\"s-0badcafe\",\"state\":\"failed\"");
         assertEquals(List.of("1", "0", "1", "6", "8", "1", "0"), figures("once"));
-        executor.get(0).say(answer("202 Accepted", "")); // it is free for a hop that waited
+        executor.get(0).say(answer("202 Accepted", "")); // it is free for an attempt that waited
         net.until("the next hop out", () -> figures("once").get(3).equals("7"));
         client().say("POST /once HTTP/1.1\r\nX-Service-Class: once\r\nContent-Length: 0\r\n\r\n");
         net.until("no request of a class", () -> node.counters.badInput == 1);
@@ -576,7 +580,7 @@
     @Test
     void connectionsAreBoundedOnTheIngressSide() {
         Peer client = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         List<Peer> idle = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             Peer each = client().say("GET /_health HTTP/1.1\r\n\r\n");
--- a/src/test/java/beechseam/platform/RouteTableGateTest.java
+++ b/src/test/java/beechseam/platform/RouteTableGateTest.java
@@ -109,7 +109,7 @@
         if (drained) {
             goesToTheOther("c1");
         } else {
-            hop(0, "c1");
+            attempt(0, "c1");
         }
     }
 
@@ -118,7 +118,7 @@
         start();
         long startedAt = System.nanoTime();
         ask("c1", "safe", "30000m");
-        hop(0, "c1");
+        attempt(0, "c1");
         assertTrue(System.nanoTime() - startedAt > ListWatch.ANSWER_TIMEOUT_NS * 8 / 10);
         assertEquals(RouteTableFreshness.State.UNCONFIRMED, node.routeTable());
         assertFalse(node.held());
--- a/src/test/java/beechseam/platform/StarterTest.java
+++ b/src/test/java/beechseam/platform/StarterTest.java
@@ -73,7 +73,7 @@
         }
     }
 
-    /** Room for discovery's calls and for hops is not lent to clients, however many there are. */
+    /** Room for discovery's calls and for attempts is not lent to clients, however many there are. */
     @Test
     void idleClientsMayFillTheDescriptorsWhileDiscoveryIsDown(@TempDir Path dir) throws Exception {
         node = new InetSocketAddress("127.0.0.1", freePort());
@@ -103,7 +103,7 @@
             int calls = discovery.size();
             net.until("further calls to discovery", () -> discovery.size() > calls + 10);
             Peer job = ask("c1", "safe", "30000m");
-            hop(0, "c1").say(answer("202 Accepted", ""));
+            attempt(0, "c1").say(answer("202 Accepted", ""));
             done("c1", "through");
             assertTrue(heard(job, "through").startsWith("HTTP/1.1 200"));
             Peer back = discovery.get(discovery.size() - 1); // discovery is back, and answers the newest call
--- a/src/test/java/beechseam/platform/SuccessionTest.java
+++ b/src/test/java/beechseam/platform/SuccessionTest.java
@@ -78,7 +78,7 @@
     @Test
     void theElderAnswersAllItTookWhileClientsGoToTheYounger() throws Exception {
         Peer early = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         Peer idle = client().say("GET /_health HTTP/1.1\r\n\r\n");
         heard(idle, "ready\n");
         PlatformNode younger = start();
@@ -111,7 +111,7 @@
     @Test
     void theElderListensAgainWhenItsSuccessorDies() throws Exception {
         Peer early = ask("c1", "once", "30000m");
-        hop(0, "c1").say(answer("202 Accepted", ""));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
         PlatformNode younger = successor();
         stop(elder);
         stop(younger);
@@ -165,7 +165,7 @@
         for (int i = 0; i < 5; i++) {
             rested();
             Peer client = ask("c" + i, "safe", "30000m");
-            hop(0, "c" + i).say(answer("202 Accepted", ""));
+            attempt(0, "c" + i).say(answer("202 Accepted", ""));
             executor.get(0).take();
             event("c" + i, "\"from\":\"s-0badcafe\",\"state\":\"started\"");
             done("c" + i, "r");
