A stall counts from two thirds of the grace, and a call's time from when it goes out

Seen in its logs: in the second after 72 processes are killed and restarted, 39 closings of the gate for stalls of 150 to 180 ms, median 72 ms, while clients wait; and a second call to discovery in 72 of 72 starts, since the first call's time ran while the process had not written it.

Change: the stall limit is two thirds of the drain grace, which leaves a third for the call that follows (half before); a call is overdue by when its connection came up. ListWatchTest.aCallThatWentOutLateHasItsTimeFromThen fails without it.

--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -215,6 +215,13 @@
             }
         }
 
+        @Override
+        protected void connected() {
+            if (call != null) {
+                watch.sent(call);
+            }
+        }
+
         @Override
         protected void received(ByteBuffer in) {
             if (call != null) {
--- a/src/main/java/beechseam/platform/ListWatch.java
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -58,6 +58,7 @@
         final long after;
         final long waitNs;
         private final long askedAt;
+        private long sentAt;
         /** When the first and the last bytes of its answer came; 0 before the first. */
         private long firstHeardAt;
         private long lastHeardAt;
@@ -68,6 +69,11 @@
             this.after = after;
             this.waitNs = waitNs;
             askedAt = now;
+            sentAt = now;
+        }
+
+        private long dueAt() {
+            return sentAt + waitNs;
         }
 
         /** An answer that goes on coming is waited for, however long the list is. */
@@ -108,8 +114,9 @@
         this.timers = timers;
         this.transport = transport;
         retryIntervalNs = Math.max(MIN_RETRY_INTERVAL_NS, Math.min(MAX_RETRY_INTERVAL_NS, drainGraceNs / 2));
-        freshness = new RouteTableFreshness(clock, timers, retryIntervalNs, ANSWER_TIMEOUT_NS,
-            this::readUnread, this::recheck);
+        long stallNs = Math.max(MIN_RETRY_INTERVAL_NS, drainGraceNs * 2 / 3); // the rest is a call's way
+        freshness = new RouteTableFreshness(clock, timers, stallNs, ANSWER_TIMEOUT_NS, this::readUnread,
+            this::recheck);
     }
 
     /** Whether the list may be acted on. */
@@ -186,6 +193,11 @@
         }
     }
 
+    /** The call goes out; its connection may come up late, above all in a process that has just started. */
+    void sent(Call call) {
+        call.sentAt = clock.getAsLong();
+    }
+
     /** Bytes of the call's answer have come; it may not be whole yet. */
     void heard(Call call) {
         call.lastHeardAt = clock.getAsLong();
@@ -213,8 +225,13 @@
     }
 
     private void overdue() {
-        reportFailure("no answer");
         long now = clock.getAsLong();
+        Call newest = pending.peekLast();
+        if (newest != null && now < newest.dueAt() + retryIntervalNs) { // it went out later than it was made
+            timers.set(retryTimer, newest.dueAt() + retryIntervalNs);
+            return;
+        }
+        reportFailure("no answer");
         for (Call each : List.copyOf(pending)) {
             if (each.isOverdue(now)) {
                 pending.remove(each);
--- a/src/test/java/beechseam/platform/ListWatchTest.java
+++ b/src/test/java/beechseam/platform/ListWatchTest.java
@@ -32,6 +32,7 @@
         final TimerQueue timers = new TimerQueue();
         final Random random;
         final List<Call> waiting = new ArrayList<>();
+        final List<Call> asked = new ArrayList<>();
         final Set<Call> hungUp = new HashSet<>();
         final ListWatch watch;
         long now;
@@ -76,6 +77,7 @@
         @Override
         public void ask(Call call, Call before) {
             calls++;
+            asked.add(call);
             mostOut = Math.max(mostOut, ++out);
             switch (random.nextDouble() < share ? way : Way.WELL) {
                 case WELL -> at(now + WAY, () -> arrive(call));
@@ -322,6 +324,19 @@
         assertTrue(agent.told(3, S) - from <= GRACE);
     }
 
+    /** A process that is slow to start writes its first call late: no second one is made before its time. */
+    @Test
+    void aCallThatWentOutLateHasItsTimeFromThen() {
+        Agent agent = new Agent(1, Way.SILENT);
+        Call first = agent.asked.get(0);
+        agent.run(140 * MS);
+        agent.watch.sent(first);
+        agent.run(280 * MS);
+        assertEquals(1, agent.calls);
+        agent.run(300 * MS);
+        assertEquals(2, agent.calls);
+    }
+
     /** Versions of a list that is not the one we hold mean nothing: the whole list is asked for. */
     @Test
     void changesUpToAnOlderVersionAreNotTaken() {
