A failed call to discovery is made again at its interval beside an open watch too

Cause, found on reading again: overdue() returned early by when the newest call that is out was due. Where a call beside an open watch had failed, that was the watch, up to 2 s away, and requests waited a second for it. And after a stall with an unread answer the second await() dated the gate after the call that the answer had brought about, so that one more was made for nothing.

Change: sent() arms the timer for the newest call, by the same line as call(); overdue() has no case of its own any more. The time of a check dates the stall. The freshness of a table has its times from its constructor on, not from start().

--- a/src/main/java/beechseam/platform/ListWatch.java
+++ b/src/main/java/beechseam/platform/ListWatch.java
@@ -78,7 +78,7 @@
 
         /** An answer that goes on coming is waited for, however long the list is. */
         private boolean isOverdue(long now) {
-            return now >= Math.max(askedAt + waitNs, lastHeardAt) + ANSWER_TIMEOUT_NS;
+            return now >= Math.max(dueAt(), lastHeardAt) + ANSWER_TIMEOUT_NS;
         }
 
         /** A watch answered with nothing, long before its time: made again at once it would be all we do. */
@@ -196,6 +196,13 @@
     /** The call goes out; its connection may come up late, above all in a process that has just started. */
     void sent(Call call) {
         call.sentAt = clock.getAsLong();
+        if (call == pending.peekLast()) {
+            expectAnswer(call);
+        }
+    }
+
+    private void expectAnswer(Call call) {
+        timers.set(retryTimer, call.dueAt() + retryIntervalNs);
     }
 
     /** Bytes of the call's answer have come; it may not be whole yet. */
@@ -226,11 +233,6 @@
 
     private void overdue() {
         long now = clock.getAsLong();
-        Call newest = pending.peekLast();
-        if (newest != null && now < newest.dueAt() + retryIntervalNs) { // it went out later than it was made
-            timers.set(retryTimer, newest.dueAt() + retryIntervalNs);
-            return;
-        }
         reportFailure("no answer");
         for (Call each : List.copyOf(pending)) {
             if (each.isOverdue(now)) {
@@ -253,7 +255,7 @@
         }
         Call call = new Call(hasFullList ? version : -1, hasFullList && healthy ? WATCH_WAIT_NS : 0, now);
         pending.add(call);
-        timers.set(retryTimer, now + call.waitNs + retryIntervalNs);
+        expectAnswer(call);
         transport.ask(call, before);
     }
 
--- a/src/main/java/beechseam/platform/RouteTableFreshness.java
+++ b/src/main/java/beechseam/platform/RouteTableFreshness.java
@@ -68,6 +68,8 @@
         this.readUnread = readUnread;
         this.askAgain = askAgain;
         remainingNs = patienceNs;
+        checkedAt = clock.getAsLong();
+        awaitedSince = checkedAt;
     }
 
     /** Called each time the gate opens. */
@@ -76,8 +78,6 @@
     }
 
     void start() {
-        checkedAt = clock.getAsLong();
-        awaitedSince = checkedAt;
         timers.set(heartbeat, checkedAt + stallNs / 2);
     }
 
@@ -97,12 +97,12 @@
     /** Discovery is elsewhere: it has all its time from now on, and nothing from before counts. */
     void moved() {
         remainingNs = patienceNs;
-        await();
+        await(clock.getAsLong());
     }
 
-    /** The table may be old from now on, until discovery answers a call made after this. */
-    void await() {
-        awaitedSince = clock.getAsLong();
+    /** The table may be old, until discovery answers a call made at that time or later. */
+    private void await(long since) {
+        awaitedSince = Math.max(awaitedSince, since);
         if (state != State.AWAITED) { // else the time that discovery is given goes on
             remainingNs = patienceNs;
             enter(State.AWAITED);
@@ -128,7 +128,7 @@
             enter(State.CONFIRMED);
             return true;
         }
-        await();
+        await(now);
         return false;
     }
 
@@ -156,14 +156,14 @@
         boolean stalled = sinceNs > stallNs;
         boolean wasConfirmed = state == State.CONFIRMED;
         if (stalled && wasConfirmed) {
-            await(); // before anything is read, which may bring sends about
+            await(now); // before anything is read, which may bring sends about
         }
         boolean any = readUnread.getAsBoolean();
         checkedAt = now;
         checking = false;
         if (stalled && (wasConfirmed || any)) {
             LOG.log(Level.INFO, "not run for " + sinceNs / 1_000_000L + " ms: discovery is asked again");
-            await();
+            await(now);
             askAgain.run();
         }
         if (state == State.AWAITED) {
--- a/src/test/java/beechseam/platform/RouteTableGateTest.java
+++ b/src/test/java/beechseam/platform/RouteTableGateTest.java
@@ -206,6 +206,7 @@
         take("c1");
         assertEquals(0, node.counters.sent);
         called(discovery, 0, "after=7&");
+        assertEquals(1, discovery.size(), "one call is enough");
         say(discovery, 0, list(7, "").replace("true", "false"));
         goesToTheOther("c1");
     }
