One conversion of a discovery row, one bound of counts, imports in order

Discovery and ListIntake each made a Worker of a row: MemberList.Server.worker serves both. MeasureLists had LoadLibrary's check of counts again: it is Command.bounded, with the same text. Discovery's set of complaints is kept by one plain call. Behaviour is meant to be the same.

--- a/src/main/java/beechseam/cli/LoadLibrary.java
+++ b/src/main/java/beechseam/cli/LoadLibrary.java
@@ -24,9 +24,9 @@
 
     @Override
     int run() throws IOException, ConfigException {
-        most("--dispatches", dispatches, 100_000_000);
-        most("--threads", threads, 256);
-        most("--workers", workers, 10_000);
+        bounded("--dispatches", dispatches, 100_000_000);
+        bounded("--threads", threads, 256);
+        bounded("--workers", workers, 10_000);
         try {
             LibraryLoad load = new LibraryLoad(System.err::println);
             System.out.println("overhead " + load.overhead(Math.min(dispatches, 50_000)));
@@ -39,10 +39,4 @@
             throw new IOException(e);
         }
     }
-
-    private static void most(String key, int value, int most) throws ConfigException {
-        if (value < 1 || value > most) {
-            throw new ConfigException(key, "must be from 1 to " + most + ", not " + value);
-        }
-    }
 }
--- a/src/main/java/beechseam/cli/Main.java
+++ b/src/main/java/beechseam/cli/Main.java
@@ -19,6 +19,13 @@
 
         /** Gives the process's exit status. */
         abstract int run() throws IOException, ConfigException;
+
+        /** Refuses a count of the command line that is under 1 or over {@code most}, by its name. */
+        static void bounded(String key, int value, int most) throws ConfigException {
+            if (value < 1 || value > most) {
+                throw new ConfigException(key, "must be from 1 to " + most + ", not " + value);
+            }
+        }
     }
 
     @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
--- a/src/main/java/beechseam/cli/MeasureLists.java
+++ b/src/main/java/beechseam/cli/MeasureLists.java
@@ -32,10 +32,4 @@
         }
         return 0;
     }
-
-    private static void bounded(String key, int value, int most) throws ConfigException {
-        if (value < 1 || value > most) {
-            throw new ConfigException(key, "must be from 1 to " + most + ", not " + value);
-        }
-    }
 }
--- a/src/main/java/beechseam/config/MemberList.java
+++ b/src/main/java/beechseam/config/MemberList.java
@@ -1,6 +1,7 @@
 package beechseam.config;
 
 import beechseam.Dispatching.State;
+import beechseam.Dispatching.Worker;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -29,6 +30,10 @@
     /** One row; {@code address} is null only for one that is gone. */
     public record Server(String id, String addr, InetSocketAddress address, String zone, String kind,
                          int cell, State state, double weight, long startedMs) {
+        /** The row in the module's terms, under the number that stands for its id. */
+        public Worker worker(long target) {
+            return new Worker(target, cell, zone, kind, startedMs * 1_000_000L, state, weight);
+        }
     }
 
     /**
--- a/src/main/java/beechseam/load/ListIntake.java
+++ b/src/main/java/beechseam/load/ListIntake.java
@@ -5,10 +5,10 @@
 import beechseam.config.Json;
 import beechseam.config.MemberList;
 import beechseam.config.ModuleOptions;
+import beechseam.core.Attempt;
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Attempt;
 import beechseam.net.TimerQueue;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -98,8 +98,7 @@
     private static List<Worker> workers(MemberList list) {
         List<Worker> workers = new ArrayList<>(list.servers().size());
         for (MemberList.Server each : list.servers()) {
-            workers.add(new Worker(Long.parseLong(each.id().substring(2), 16), each.cell(), each.zone(),
-                each.kind(), TimeUnit.MILLISECONDS.toNanos(each.startedMs()), each.state(), each.weight()));
+            workers.add(each.worker(Long.parseLong(each.id().substring(2), 16)));
         }
         return workers;
     }
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -172,8 +172,7 @@
                 continue;
             }
             maintenance.listed(s.id(), id);
-            lines.add(new Worker(id, s.cell(), s.zone(), s.kind(), s.startedMs() * 1_000_000L, s.state(),
-                s.weight()));
+            lines.add(s.worker(id));
             if (s.state() != State.GONE) {
                 named.add(id);
                 pool.put(id, s.addr(), s.address());
@@ -259,7 +258,7 @@
                     + e.getMessage().lines().findFirst().orElse(""));
                 return;
             }
-            complaints.removeIf(each -> !each.equals(ENTRIES) || !partly);
+            complaints.retainAll(partly ? Set.of(ENTRIES) : Set.of());
             ListWatch.Call done = call;
             call = null;
             watch.answered(done, list);
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -187,6 +187,7 @@
         return discovery.freshness().state();
     }
 
+    /** The connections that this node has accepted. */
     IngressTable ingress() {
         return ingress;
     }
--- a/src/test/java/beechseam/VirtualDay.java
+++ b/src/test/java/beechseam/VirtualDay.java
@@ -1,10 +1,10 @@
 package beechseam;
 
 import beechseam.Dispatching.*;
+import beechseam.core.Attempt;
 import beechseam.core.Counters;
 import beechseam.core.Egress;
 import beechseam.core.Engine;
-import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
 import beechseam.core.Timer;
