--- a/src/test/java/beechseam/cli/MainTest.java
+++ b/src/test/java/beechseam/cli/MainTest.java
@@ -47,6 +47,24 @@
         assertTrue(said(2, "import", bad.toString()).contains("neither"));
     }
 
+    /** A configuration may know as many servers as a list of discovery; one named twice is a fault. */
+    @Test
+    void aConfigurationMayKnowThousandsOfServers(@TempDir Path dir) throws Exception {
+        StringBuilder rows = new StringBuilder();
+        for (int i = 1; i <= 4096; i++) {
+            rows.append(i == 1 ? "" : ",").append("{\"id\":\"s-").append(Integer.toHexString(i))
+                .append("\",\"addr\":\"127.0.0.9:1\",\"state\":\"SERVING\"}");
+        }
+        String text = "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"known\":{\"version\":4,"
+            + "\"full\":true,\"servers\":[" + rows + "]},\"settings\":{\"Classes\":[{\"Name\":\"c\","
+            + "\"AimNs\":5}],\"Limits\":{\"MaxAttempts\":3}}}";
+        Path good = Files.writeString(dir.resolve("good.json"), text);
+        assertTrue(said(0, "check-config", "--config", good.toString()).startsWith("good: node"));
+        Path twice = Files.writeString(dir.resolve("twice.json"), text.replace("\"s-1000\"", "\"s-1\""));
+        assertTrue(said(2, "check-config", "--config", twice.toString())
+            .contains("known.servers: must name a server once, and names s-1 twice"));
+    }
+
     @Test
     void theToolsSayWhatIsWrongAndWhatTheyTake(@TempDir Path dir) throws Exception {
         for (String each : List.of("serve", "import", "check-config", "schema", "conformance",
