--- /dev/null
+++ b/src/test/java/beechseam/platform/ProgramRig.java
@@ -0,0 +1,68 @@
+package beechseam.platform;
+
+import beechseam.Loopback;
+import beechseam.Loopback.Peer;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Map;
+
+/** The whole program in a process of its own, between the rig's stand-ins. */
+abstract class ProgramRig extends NodeRig {
+    static final int SOCKETS = 256;
+
+    InetSocketAddress node = new InetSocketAddress("127.0.0.1", freePort());
+
+    @Override
+    InetSocketAddress address() {
+        return node;
+    }
+
+    static int freePort() {
+        try (Loopback net = new Loopback()) {
+            return net.standIn(new ArrayList<>()).getPort();
+        }
+    }
+
+    /** Starts it by a shell that does {@code before} first; what it says goes to the file "log". */
+    Process serve(Path dir, String before, Map<String, String> environment) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("bash", "-c", before
+            + "; exec \"$0\" -cp \"$1\" beechseam.cli.Main serve --config \"$2\"",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            System.getProperty("java.class.path"), dir.resolve("config.json").toString());
+        builder.environment().keySet().removeIf(key -> key.startsWith("PROXY_"));
+        builder.environment().putAll(environment);
+        return builder.redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
+    }
+
+    void configure(Path dir, InetSocketAddress discoveryAt, String settings) throws Exception {
+        Files.writeString(dir.resolve("config.json"), "{\"listen\":\"127.0.0.1:" + node.getPort()
+            + "\",\"discovery\":\"127.0.0.1:" + discoveryAt.getPort()
+            + "\",\"limits\":{\"sockets\":" + SOCKETS + "},\"known\":"
+            + list(1, row("SERVING")) + ",\"settings\":" + settings + "}");
+    }
+
+    /** Answers the program's first call to discovery with these rows; its watch is open then. */
+    Peer listed(int version, String rows) {
+        net.until("a call", () -> !discovery.isEmpty() && discovery.get(0).heard().endsWith("\r\n\r\n"));
+        Peer agent = discovery.get(0);
+        agent.take();
+        agent.say(answer("200 OK", list(version, rows)));
+        net.until("the watch", () -> agent.heard().contains("after=" + version + "&")
+            && agent.heard().endsWith("\r\n\r\n"));
+        return agent;
+    }
+
+    /** Waits until the program says that it is ready. */
+    void ready() {
+        Peer[] health = {null};
+        net.until("ready", () -> {
+            if (health[0] == null || health[0].gone || health[0].heard().endsWith("not ready\n")) {
+                net.settle(50);
+                health[0] = client().say("GET /_health HTTP/1.1\r\n\r\n");
+            }
+            return health[0].heard().startsWith("HTTP/1.1 200");
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/beechseam/platform/SystemFaultsTest.java
@@ -0,0 +1,102 @@
+package beechseam.platform;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beechseam.Loopback.Peer;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.condition.EnabledIf;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The whole program while calls of the system fail for a time, and while the wall clock is stepped. */
+@EnabledIf("beechseam.platform.FaultControl#available")
+class SystemFaultsTest extends ProgramRig {
+    private static final long HOUR_MS = 3_600_000;
+    private static final String SECOND = "s-0000beef";
+    private static final int BURST = 24;
+    /** An executor of the rig is warm so long after its start, with the time that its budget counts over. */
+    private static final long WARM_MS = 2_300;
+
+    @TempDir
+    private Path dir;
+    private final List<Peer> other = new ArrayList<>();
+    private final InetSocketAddress otherAt = net.standIn(other);
+    private FaultControl faults;
+    private Process program;
+    private int jobs;
+
+    @BeforeEach
+    void start() throws Exception {
+        faults = FaultControl.build(dir);
+        configure(dir, discoveryAt, SETTINGS);
+    }
+
+    @AfterEach
+    void end() {
+        if (program != null) {
+            program.destroyForcibly();
+        }
+    }
+
+    private Peer serve() throws Exception {
+        program = serve(dir, "true", faults.environment());
+        Peer agent = listed(2, rows(0));
+        ready();
+        return agent;
+    }
+
+    private String rows(long secondStartedMs) {
+        return row("SERVING") + "," + second(secondStartedMs);
+    }
+
+    private String second(long startedMs) {
+        return row("SERVING").replace("s-0badcafe", SECOND).replace(":" + executorAt.getPort(),
+            ":" + otherAt.getPort()).replace("\"started_ms\":0", "\"started_ms\":" + startedMs);
+    }
+
+    /** Hands in jobs at once that all run on, and gives how many of them the second executor has got. */
+    private int burst() {
+        int first = jobs;
+        for (int i = 0; i < BURST; i++) {
+            ask("b" + jobs++, "once", "900m");
+        }
+        net.settle(300);
+        int count = 0;
+        for (int i = first; i < jobs; i++) {
+            String id = "X-Correlation-Id: b" + i + "\r\n";
+            count += other.stream().anyMatch(peer -> peer.heard().contains(id)) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private void restartOfTheSecond(Peer agent, int version, long startedMs) {
+        agent.take();
+        agent.say(answer("200 OK", list(version, second(startedMs)).replace("true", "false")));
+        net.until("the next watch", () -> agent.heard().contains("after=" + version + "&"));
+    }
+
+    /** The second executor restarts when the wall clock of the lists, of the node or of both has moved. */
+    @ParameterizedTest
+    @ValueSource(strings = {"-3600000,-3600000", "3600000,3600000", "-3600000,0", "0,-3600000", "3600000,0",
+        "0,3600000", "-1500,0", "1500,-1500", "0,0"})
+    void aRestartIsTakenAsColdAndWarmsInRealTimeWhateverTheWallClocksDo(String steps) throws Exception {
+        Peer agent = serve();
+        long stepOfNode = Long.parseLong(steps.split(",")[0]);
+        long stepOfLists = Long.parseLong(steps.split(",")[1]);
+        int before = burst();
+        net.settle(1000);
+        faults.stepClock(stepOfNode);
+        restartOfTheSecond(agent, 3, System.currentTimeMillis() + stepOfLists);
+        int cold = burst();
+        net.settle(WARM_MS);
+        int warm = burst();
+        assertTrue(cold <= before / 2, "cold it got " + cold + ", before " + before);
+        assertTrue(warm >= before / 2, "warm it got " + warm + ", before " + before);
+    }
+}
