A server's start is dated by what lists say, not by a wall clock that may be stepped

Cause: EventLoop.clockOffset is taken once at the node's start, and MemberList.Server.worker took started_ms for a time of that clock, so Dispatcher.ramp and cold compared two clocks that a step sets apart: a step back made a restarted server look an hour old, one forward kept it cold for an hour. Change: ServerStartTimes (I/O-free) gives a row its time on the steady clock. A date that differs from the one listed before is a start between two lists: now, while lists are close; after a longer gap the date counts where it lies within the gap and the wall clock has not been stepped. The library's targets likewise. Same class, mended too: what cold workers were sent is handed over by age, since two processes' clocks differ by a step between their starts; a put-back kept in the maintenance file that lies ahead counts as now, and that file is synced before it is moved. Open: the first list of a process has nothing to be compared with; a clock stepped forward between a server's start and the node's hides that start.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.DoubleStream;
 import beechseam.Dispatching.*;
 
 /**
@@ -1009,7 +1009,8 @@
         for (Member m : members.values()) { // to another dispatcher what is out from here is others' load
             all.put("worker " + m.info.id(), new double[] {m.speed.log, m.speed.runs, m.slotsSeen, m.reports,
                 m.others + m.own, doubt(m)});
-            all.put("cold " + m.info.id(), m.coldSent.stream().flatMapToDouble(Arrays::stream).toArray());
+            all.put("cold " + m.info.id(), m.coldSent.stream()
+                .flatMapToDouble(sent -> DoubleStream.of(now - sent[0], sent[1])).toArray());
         }
         return all;
     }
@@ -1051,7 +1052,7 @@
             });
             double[] sent = learned.getOrDefault("cold " + m.info.id(), new double[0]);
             for (int i = 1; i < sent.length; i += 2) {
-                m.coldSent.addLast(new double[] {sent[i - 1], sent[i]});
+                m.coldSent.addLast(new double[] {now - sent[i - 1], sent[i]}); // its age: clocks may differ
             }
         }
         refreshIndices(0);
--- a/src/main/java/beechseam/config/MemberList.java
+++ b/src/main/java/beechseam/config/MemberList.java
@@ -27,12 +27,19 @@
         this(version, full, servers, Set.of());
     }
 
-    /** One row; {@code address} is null only for one that is gone. */
+    /**
+     * One row; {@code address} is null only for one that is gone. {@code startedMs} is the latest start by
+     * the wall clock of whoever dates the list, in Unix milliseconds, 0 for long ago.
+     */
     public record Server(String id, String addr, InetSocketAddress address, String zone, String kind,
                          int cell, State state, double weight, long startedMs) {
-        /** The row in the module's terms, under the number that stands for its id. */
-        public Worker worker(long target) {
-            return new Worker(target, cell, zone, kind, startedMs * 1_000_000L, state, weight);
+        /**
+         * The row in the module's terms, under the number that stands for its id.
+         *
+         * @param startedAt when it started on the host's clock, in nanoseconds; 0 for long ago
+         */
+        public Worker worker(long target, long startedAt) {
+            return new Worker(target, cell, zone, kind, startedAt, state, weight);
         }
     }
 
--- a/src/main/java/beechseam/library/Balancer.java
+++ b/src/main/java/beechseam/library/Balancer.java
@@ -23,6 +23,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -64,6 +65,8 @@
     private static final JobClass PACE = new JobClass("", 160_000_000L, 160_000_000L, 0, 1e-9, 1,
         beechseam.Dispatching.Effect.UNSAFE, beechseam.Dispatching.Group.CELL, 0, "");
     private static final long CHECK_NS = 5_000_000L;
+    /** A target older than this has started long ago, whatever its host says. */
+    private static final long MAX_AGE_MS = Duration.ofDays(365).toMillis();
     private static final String CLOSED = "the balancer is closed";
 
     private final Sender<Q, R> sender;
@@ -82,6 +85,7 @@
     private final Set<Dispatched> open = new HashSet<>();
     private final CompletableFuture<Boolean> closed = new CompletableFuture<>();
     private long lastNumber;
+    private long listedAt;
     private long lastName;
     private volatile boolean closing;
 
@@ -90,11 +94,31 @@
         final long number;
         Target target;
         int out;
+        private Instant dated;
+        private long startedAt;
 
         Place(long number) {
             this.number = number;
         }
 
+        /**
+         * When it started on the loop's clock, 0 for long ago. The host dates it by a wall clock, which may
+         * have been stepped: a date that lies ahead, or before the list in which it was another, counts as
+         * now.
+         */
+        long startedAt(Instant date, long now, long listedAt) {
+            if (date == null) {
+                startedAt = 0;
+            } else if (!date.equals(dated)) {
+                long ageMs = Math.min(Duration.between(date, Instant.now()).toMillis(), MAX_AGE_MS);
+                long ageNs = ageMs * 1_000_000L;
+                long earliest = dated == null ? 1 : listedAt;
+                startedAt = ageNs >= 0 && now - ageNs >= earliest ? now - ageNs : now;
+            }
+            dated = date;
+            return startedAt;
+        }
+
         /**
          * What the module is told of its load; null where its slots are not known, as own attempts say
          * enough.
@@ -380,17 +404,18 @@
     private void list(List<Target> now) {
         List<Worker> lines = new ArrayList<>();
         Set<String> listed = new HashSet<>();
+        long at = loop.now();
         for (Target t : now) {
             listed.add(t.id());
             Place p = byId.computeIfAbsent(t.id(), id -> new Place(++lastNumber));
             byNumber.put(p.number, p);
             p.target = t;
-            long born = t.started() == null ? 0
-                : t.started().getEpochSecond() * 1_000_000_000L + t.started().getNano();
-            lines.add(new Worker(p.number, t.cell(), t.zone(), t.kind(), born,
+            long startedAt = p.startedAt(t.started(), at, listedAt);
+            lines.add(new Worker(p.number, t.cell(), t.zone(), t.kind(), startedAt,
                 t.draining() ? State.DRAINING : State.READY));
         }
         engine.routes(ListForm.FULL, lines);
+        listedAt = at;
         for (Target t : now) {
             Place p = byId.get(t.id());
             if (p.load() != null) {
--- a/src/main/java/beechseam/load/ListIntake.java
+++ b/src/main/java/beechseam/load/ListIntake.java
@@ -98,7 +98,7 @@
     private static List<Worker> workers(MemberList list) {
         List<Worker> workers = new ArrayList<>(list.servers().size());
         for (MemberList.Server each : list.servers()) {
-            workers.add(each.worker(Long.parseLong(each.id().substring(2), 16)));
+            workers.add(each.worker(Long.parseLong(each.id().substring(2), 16), 0));
         }
         return workers;
     }
--- a/src/main/java/beechseam/ops/MaintenanceFile.java
+++ b/src/main/java/beechseam/ops/MaintenanceFile.java
@@ -6,10 +6,12 @@
 import java.io.OutputStream;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -63,6 +65,9 @@
                 }
                 json.writeEndObject();
             }
+            try (FileChannel written = FileChannel.open(aside, StandardOpenOption.WRITE)) {
+                written.force(true); // or the move could outlive what it moves
+            }
             Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
             return true;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -43,6 +43,7 @@
     private final EgressPool pool;
     private final Maintenance maintenance;
     private final ListWatch watch;
+    private final ServerStartTimes startTimes;
     private InetSocketAddress address;
     private String host;
     private PlatformNode.Configuration configuration;
@@ -60,6 +61,7 @@
         this.engine = engine;
         this.pool = pool;
         watch = new ListWatch(loop::now, loop.timers, drainGraceNs, this);
+        startTimes = new ServerStartTimes(loop::now, System::currentTimeMillis);
     }
 
     /** The list as held before the start: it may be old, so the whole list is asked for all the same. */
@@ -165,6 +167,8 @@
     public void take(MemberList list, ListForm form) {
         List<Worker> lines = new ArrayList<>();
         Set<Long> named = new HashSet<>();
+        Set<String> ids = new HashSet<>(list.unusable());
+        startTimes.begin(form == ListForm.CACHED);
         for (MemberList.Server s : list.servers()) {
             long id = Wire.target(s.id());
             if (id < 0) {
@@ -172,7 +176,8 @@
                 continue;
             }
             maintenance.listed(s.id(), id);
-            lines.add(s.worker(id));
+            lines.add(s.worker(id, startTimes.of(s)));
+            ids.add(s.id());
             if (s.state() != State.GONE) {
                 named.add(id);
                 pool.put(id, s.addr(), s.address());
@@ -187,6 +192,7 @@
         engine.routes(form, lines);
         if (form != ListForm.CHANGES) {
             pool.retain(named);
+            startTimes.retain(ids);
         } else {
             lines.stream().filter(each -> each.state() == State.GONE).forEach(each -> pool.remove(each.id()));
         }
--- a/src/main/java/beechseam/platform/Maintenance.java
+++ b/src/main/java/beechseam/platform/Maintenance.java
@@ -37,7 +37,8 @@
             long target = Wire.target(id);
             if (target >= 0) {
                 listed(id, target);
-                engine.maintain(target, back == 0, back);
+                // By the wall clock as it was then: one that lies ahead has been stepped since.
+                engine.maintain(target, back == 0, Math.min(back, engine.now()));
             }
         });
     }
--- a/src/test/java/beechseam/DispatcherTest.java
+++ b/src/test/java/beechseam/DispatcherTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DispatcherTest {
     private static final JobClass SAFE = Rig.of(Effect.SAFE, Group.ALL);
@@ -668,12 +669,17 @@
         assertEquals(before.get(row)[4] + 1, after[4], 1e-9, "its own hop is others' load to another");
     }
 
-    /** Of two processes of one node one may warm a cold worker: the younger, who knows what it was sent. */
-    @Test
-    void theRightToWarmGoesOverWithTheRecordOfWhatWasSent() {
+    /**
+     * Of two processes of one node one may warm a cold worker: the younger, who knows what it was sent. Their
+     * clocks differ where the wall clock was stepped between their starts.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 3600})
+    void theRightToWarmGoesOverWithTheRecordOfWhatWasSent(long leadOfYounger) {
         Rig elder = new Rig(Rig.settings(SAFE));
         Rig younger = new Rig(Rig.settings(SAFE));
-        elder.now = younger.now += 2 * S;
+        elder.now += 2 * S;
+        younger.now += (2 + leadOfYounger) * S;
         for (Rig each : List.of(elder, younger)) {
             each.module.list(each.now, ListForm.FULL, List.of(Rig.worker(1, "z1", each.now, State.READY)));
         }
@@ -684,7 +690,7 @@
         assertTrue(most > 0);
         younger.module.recall(younger.now, elder.module.handOver(elder.now));
         assertEquals(0, younger.job(1), "spent by the elder");
-        elder.now = younger.now += S + 1;
+        younger.now += S + 1;
         assertNotEquals(0, younger.job(2), "it need not wait, as after a plain start");
         Rig plain = new Rig(Rig.settings(SAFE));
         plain.module.list(plain.now, ListForm.FULL, List.of(Rig.worker(1, "z1", plain.now, State.READY)));
