Failing tests: accept, socket and connect fail for a while

Change: SystemFaultsTest makes these calls of the real program fail by the preloaded library. Measured on the program before the mend: 3,211 and 167 accepts failed in 1.5 s beside other tests (11,124 and 11,069 alone) with a line of log each; a request was refused with 503 at once while no socket, or no port, could be had. Unreachable networks (ENETUNREACH, EHOSTUNREACH, ETIMEDOUT) lose nothing, before and after.

--- a/src/test/java/beechseam/platform/FaultControl.java
+++ b/src/test/java/beechseam/platform/FaultControl.java
@@ -20,6 +20,8 @@
     static final long ENOBUFS = 105;
     static final long EADDRNOTAVAIL = 99;
     static final long ENETUNREACH = 101;
+    static final long ETIMEDOUT = 110;
+    static final long EHOSTUNREACH = 113;
 
     private static final int STEP = 0;
     private static final int ACCEPT = 8;
--- a/src/test/java/beechseam/platform/SystemFaultsTest.java
+++ b/src/test/java/beechseam/platform/SystemFaultsTest.java
@@ -1,14 +1,18 @@
 package beechseam.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beechseam.Loopback.Peer;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledIf;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -99,4 +103,64 @@
         assertTrue(cold <= before / 2, "cold it got " + cold + ", before " + before);
         assertTrue(warm >= before / 2, "warm it got " + warm + ", before " + before);
     }
+
+    /** Without a descriptor to spare nobody can be accepted: that costs no core and fills no log. */
+    @ParameterizedTest
+    @ValueSource(longs = {FaultControl.EMFILE, FaultControl.ENOBUFS})
+    void acceptsThatFailForAWhileAreTriedAgainAfterAPause(long error) throws Exception {
+        serve();
+        faults.failAccept(error);
+        Peer client = ask("c1", "once", "20000m");
+        net.settle(1500);
+        long failed = faults.failed();
+        assertTrue(failed >= 2 && failed <= 100, failed + " accepts failed");
+        assertTrue(Files.readString(dir.resolve("log")).lines().count() < 40);
+        faults.failAccept(0);
+        long begun = System.nanoTime();
+        net.until("the attempt", () -> executor.size() + other.size() > 0);
+        assertTrue(System.nanoTime() - begun < 500_000_000L, "the pause is short beside a client's patience");
+        assertEquals("", client.heard());
+        net.until("the attempt whole", () -> Stream.concat(executor.stream(), other.stream())
+            .anyMatch(peer -> peer.heard().endsWith("\r\n\r\nbody")));
+    }
+
+    /** A moment without descriptors is no fault of the executors: the request waits for one. */
+    @Test
+    void anAttemptWaitsWhileNoSocketCanBeOpened() throws Exception {
+        serve();
+        faults.failSocket(FaultControl.EMFILE);
+        anAttemptWaitsUntil(() -> faults.failSocket(0));
+    }
+
+    @Test
+    void anAttemptWaitsWhileNoPortIsFree() throws Exception {
+        serve();
+        faults.failConnect(FaultControl.EADDRNOTAVAIL);
+        anAttemptWaitsUntil(() -> faults.failConnect(0));
+    }
+
+    private void anAttemptWaitsUntil(Runnable mended) {
+        Peer client = ask("c1", "once", "20000m");
+        net.settle(600);
+        assertEquals("", client.heard(), "neither refused nor failed");
+        mended.run();
+        net.until("the attempt", () -> executor.size() + other.size() == 1);
+        assertTrue(faults.failed() >= 2 && faults.failed() <= 60, faults.failed() + " calls failed");
+    }
+
+    /** That may be the executors' fault: what never ran is refused, and later jobs are served again. */
+    @ParameterizedTest
+    @ValueSource(longs = {FaultControl.ENETUNREACH, FaultControl.EHOSTUNREACH, FaultControl.ETIMEDOUT})
+    void aConnectThatIsUnreachableForAWhileLosesNothing(long error) throws Exception {
+        serve();
+        faults.failConnect(error);
+        Peer client = ask("c1", "once", "1500m");
+        net.until("an answer", () -> client.heard().contains("\r\n\r\n"));
+        assertTrue(client.heard().startsWith("HTTP/1.1 503"), client.heard());
+        faults.failConnect(0);
+        for (int i = 2; executor.isEmpty() && other.isEmpty(); i++) {
+            ask("c" + i, "once", "1500m");
+            net.settle(200);
+        }
+    }
 }
