--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -41,6 +41,7 @@
     private boolean readPaused;
     private boolean flushDue;
     private long lastActivity;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
 
     /** An accepted channel, or null for one that {@link #connect} opens; {@code mostRead} bytes are held. */
     protected Connection(EventLoop loop, SocketChannel channel, int mostRead) throws IOException {
@@ -228,6 +229,7 @@
         }
         waiting.clear();
         EventLoop.closeQuietly(channel);
+        loop.descriptorFreed();
         released();
     }
 
@@ -288,6 +290,11 @@
         }
     }
 
+    /** When the byte was read that {@code behind} others on offer have come behind, on the loop's clock. */
+    protected final long arrivedAt(int behind) {
+        return arrivals.of(behind, lastActivity);
+    }
+
     protected final boolean hasUnused() {
         return in != null && in.position() > 0;
     }
@@ -367,6 +374,7 @@
             }
         } else if (sum > 0) {
             lastActivity = loop.now();
+            arrivals.read(sum, lastActivity);
             offer();
         } else if (in.position() == 0) { // nothing has come: the buffer is not kept for it
             loop.buffers.give(in);
@@ -397,6 +405,7 @@
         } else {
             in.compact();
         }
+        arrivals.keep(in.position());
         if (in.position() == 0) {
             loop.buffers.give(in);
             in = null;
--- a/src/main/java/beechseam/net/EventLoop.java
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -9,7 +9,9 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** One thread that serves all connections and timers. No exception leaves it. */
@@ -33,6 +35,7 @@
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private ArrayList<Runnable> turnEnd = new ArrayList<>();
     private ArrayList<Runnable> spare = new ArrayList<>();
+    private final Set<Runnable> descriptorWaiters = new LinkedHashSet<>();
     // Unix time that never steps: discovery dates starts in Unix time, and deadlines need a steady clock.
     private final long clockOffset = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
     private volatile boolean stopping;
@@ -68,6 +71,22 @@
         turnEnd.add(task);
     }
 
+    /**
+     * Runs it once when a connection of this loop has given its descriptor back, for who could not open one,
+     * however often it is asked for until then; for the loop's thread only.
+     */
+    public void whenDescriptorFreed(Runnable task) {
+        descriptorWaiters.add(task);
+    }
+
+    /** A channel has been closed. The runtime lets its descriptor go in the next selection. */
+    void descriptorFreed() {
+        if (!descriptorWaiters.isEmpty()) {
+            posted.addAll(descriptorWaiters);
+            descriptorWaiters.clear();
+        }
+    }
+
     public void stop() {
         stopping = true;
         selector.wakeup();
