An exchange waits for a socket of this machine's, and for any connection that is freed

Cause: EgressPool.send told a failed socket() or a connect without a port as broken(true), which the engine takes for an unreachable server: the request was used up on others, and all were doubted. Exchanges queued at the bound on all connections were looked at by their own executor's connections only. Change: a local failure queues the exchange, with a pause of 10 to 160 ms and another try when a descriptor is freed; the pool knows which executors have exchanges queued, and whatever becomes free serves the next of them.

--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -5,6 +5,7 @@
 import beechseam.http.HttpParser;
 import beechseam.net.Connection;
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.ByteBuffer;
 
 /** A connection to an executor: connecting, idle in its pool, or busy with one exchange. */
@@ -19,6 +20,7 @@
         }
     };
     private Exchange now;
+    private boolean opening;
     private boolean begun;
     private boolean whole;
     /** How long it had stood idle before the exchange under way; 0 for its first. */
@@ -34,7 +36,9 @@
     void open(Exchange first) {
         now = first;
         loop.timers.set(connectTimeout, loop.now() + pool.connectTimeoutNs);
+        opening = true;
         connect(target.address);
+        opening = false;
     }
 
     /** Begins an exchange on the idle connection; false where it was not wanted any more. */
@@ -47,6 +51,7 @@
     @Override
     protected void connected() {
         loop.timers.cancel(connectTimeout);
+        pool.connected();
         if (!start()) {
             pool.idle(this);
         }
@@ -136,6 +141,10 @@
             Exchange broken = now;
             now = null;
             broken.connection = null;
+            if (opening && why instanceof BindException) { // out of ports: no fault of the executor's
+                pool.sendLater(target, broken, why);
+                return;
+            }
             if (begun && stoodIdleNs > 0) {
                 pool.shortenIdleTimeout(target, stoodIdleNs);
             }
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -1,5 +1,6 @@
 package beechseam.platform;
 
+import beechseam.core.Timer;
 import beechseam.net.EventLoop;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -57,7 +58,23 @@
     private final long keepIdleNs;
     private int mostOpen;
     private int mostPerTarget;
+    /** The pauses after a socket that could not be opened here. */
+    private static final long FIRST_PAUSE_NS = 10_000_000L;
+    private static final long LONGEST_PAUSE_NS = 160_000_000L;
+
     private final Map<Long, Target> targets = new HashMap<>();
+    /** Those whose exchanges wait for a connection. */
+    private final Set<Target> queued = new LinkedHashSet<>();
+    private final Runnable descriptorFreed = this::descriptorFreed;
+    private final Timer pause = new Timer() {
+        @Override
+        protected void fire() {
+            sendQueued();
+        }
+    };
+    private long pauseNs;
+    private long localFailures;
+    private boolean sendsAtTurnEnd;
     /** No longer listed, but with connections that are still busy: these end by the same clocks. */
     private final Set<Target> removed = new LinkedHashSet<>();
     private int open;
@@ -94,9 +111,10 @@
             t.gone = true;
             removed.add(t);
             List.copyOf(t.idle).forEach(EgressConnection::close);
-            List<Exchange> queued = new ArrayList<>(t.queue);
+            List<Exchange> waiting = new ArrayList<>(t.queue);
             t.queue.clear();
-            queued.forEach(each -> {
+            queued.remove(t);
+            waiting.forEach(each -> {
                 if (each.wanted()) {
                     each.broken(true);
                 }
@@ -123,15 +141,15 @@
             return;
         }
         if (t.open >= mostPerTarget || open >= mostOpen && !closeAnIdleOne()) {
-            t.queue.add(exchange);
+            enqueue(t, exchange);
             return;
         }
         EgressConnection fresh;
         try {
             fresh = new EgressConnection(this, t);
         } catch (IOException e) { // out of descriptors
-            LOG.log(Level.WARNING, "no socket: " + e.getMessage());
-            exchange.broken(true);
+            sendLater(t, exchange, e);
+            loop.whenDescriptorFreed(descriptorFreed);
             return;
         }
         t.open++;
@@ -140,6 +158,60 @@
         fresh.open(exchange);
     }
 
+    private void enqueue(Target t, Exchange exchange) {
+        t.queue.add(exchange);
+        queued.add(t);
+    }
+
+    /**
+     * This machine is out of descriptors or ports: that says nothing of the executor, which must not be
+     * doubted for it. The exchange waits, for as long as it is wanted, until a socket can be opened.
+     */
+    void sendLater(Target t, Exchange exchange, IOException why) {
+        LOG.log(localFailures++ == 0 ? Level.WARNING : Level.DEBUG, "no socket: " + why.getMessage());
+        enqueue(t, exchange);
+        if (!pause.armed()) {
+            pauseNs = pauseNs == 0 ? FIRST_PAUSE_NS : Math.min(2 * pauseNs, LONGEST_PAUSE_NS);
+            loop.timers.set(pause, loop.now() + pauseNs);
+        }
+    }
+
+    /** A connection has come up: this machine opens sockets again. */
+    void connected() {
+        if (localFailures > 0) {
+            LOG.log(Level.INFO, "sockets again after " + localFailures + " failures");
+        }
+        localFailures = 0;
+        pauseNs = 0;
+    }
+
+    private void descriptorFreed() {
+        loop.timers.cancel(pause);
+        sendQueued();
+    }
+
+    /** Sends what waits, as far as there is room for connections. */
+    private void sendQueued() {
+        for (Target t : List.copyOf(queued)) {
+            int most = t.queue.size();
+            for (int i = 0; i < most && !t.queue.isEmpty() && hasRoom(t) && !pause.armed(); i++) {
+                send(t, poll(t));
+            }
+        }
+    }
+
+    private boolean hasRoom(Target t) {
+        return !t.idle.isEmpty() || t.open < mostPerTarget && (open < mostOpen || closeAnIdleOne());
+    }
+
+    private Exchange poll(Target t) {
+        Exchange next = t.queue.poll();
+        if (t.queue.isEmpty()) {
+            queued.remove(t);
+        }
+        return next;
+    }
+
     /**
      * The idle connection used last that has rested, or null. Its peer may have closed it in this very turn,
      * and a request written to it then may have run for all that is known: so what it has said is read first.
@@ -182,13 +254,27 @@
             c.close();
             return;
         }
-        for (Exchange next = t.queue.poll(); next != null; next = t.queue.poll()) {
+        for (Exchange next = poll(t); next != null; next = poll(t)) {
             if (c.begin(next)) {
                 return;
             }
         }
         t.busy.remove(c);
         t.idle.addFirst(c);
+        sendQueuedAtTurnEnd(); // another executor's may wait for its descriptor
+    }
+
+    /** Not within: a long queue before a dead executor would nest as deep. */
+    private void sendQueuedAtTurnEnd() {
+        if (!queued.isEmpty() && !sendsAtTurnEnd) {
+            sendsAtTurnEnd = true;
+            loop.atTurnEnd(() -> {
+                sendsAtTurnEnd = false;
+                if (!pause.armed()) {
+                    sendQueued();
+                }
+            });
+        }
     }
 
     /**
@@ -208,14 +294,7 @@
         open--;
         t.idle.remove(c);
         t.busy.remove(c);
-        if (!t.queue.isEmpty() && !t.gone) {
-            loop.atTurnEnd(() -> { // not within: a long queue before a dead executor would nest as deep
-                Exchange next = t.gone ? null : t.queue.poll();
-                if (next != null) {
-                    send(t, next);
-                }
-            });
-        }
+        sendQueuedAtTurnEnd();
     }
 
     int open() {
@@ -242,6 +321,7 @@
     }
 
     void close() {
+        loop.timers.cancel(pause);
         List.copyOf(targets.keySet()).forEach(this::remove);
     }
 }
--- a/src/test/java/beechseam/platform/EgressPoolTest.java
+++ b/src/test/java/beechseam/platform/EgressPoolTest.java
@@ -92,4 +92,26 @@
         assertEquals(2, pool.open());
         assertTrue(!second.answered && !second.broken);
     }
+
+    /** The same where the connection breaks, and where many wait. */
+    @Test
+    void whatBreaksAtOneExecutorMakesRoomAtOthers() {
+        pool.bound(1, 1);
+        for (int i = 0; i < 5; i++) {
+            executor();
+        }
+        Call lost = send(0);
+        List<Call> waiting = new ArrayList<>();
+        for (int i = 1; i < 5; i++) {
+            waiting.add(send(i));
+        }
+        asked(0, 0).close();
+        for (int i = 1; i < 5; i++) {
+            Call call = waiting.get(i - 1);
+            asked(i, 0).say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            net.until("answer " + i, () -> call.answered);
+        }
+        assertTrue(lost.broken);
+        assertEquals(1, pool.open());
+    }
 }
