--- a/src/test/java/beechseam/platform/CrossingsTest.java
+++ b/src/test/java/beechseam/platform/CrossingsTest.java
@@ -22,6 +22,8 @@
 class CrossingsTest extends NodeRig {
     private static final String LISTEN = "\"listen\":\"127.0.0.1:0\",";
     private static final long TARGET = 0x0badcafeL;
+    private static final String MARKED_RETRIES =
+        SETTINGS.replace("\"Limits\":", "\"Clients\":{\"MarksRetry\":true},\"Limits\":");
     private static final int CONNECTIONS = 6; // to one executor, with the rig's 128 descriptors
 
     private final List<Peer> other = new ArrayList<>();
@@ -78,6 +80,42 @@
         return node.counters.of(0).written + node.counters.of(1).written + node.counters.of(2).written;
     }
 
+    // ---- Requests that wait in a connection's buffer
+
+    /** Sent behind another, it is read at once and parsed late: its time has run meanwhile. */
+    @Test
+    void theTimeOfARequestThatWaitsBehindAnotherCountsFromItsLastByte() {
+        listed(MARKED_RETRIES, false);
+        twoAtOnce("1500m", 700);
+        net.until("the second's attempt", () -> executor.stream()
+            .anyMatch(each -> each.heard().contains(": c2\r\n") && each.heard().endsWith("body")));
+        String sent = executor.stream().map(Peer::heard).filter(each -> each.contains(": c2")).findFirst()
+            .orElseThrow();
+        long told = Long.parseLong(sent.replaceAll("(?s).*X-Time-Left: (\\d+)m.*", "$1"));
+        assertTrue(told <= 1500 - 700 + 150, "told to have " + told + " ms");
+    }
+
+    /** Its time is over before it is parsed: refused, with nothing sent, and the connection lives on. */
+    @Test
+    void aRequestWhoseTimeRunsOutBehindAnotherIsRefused() {
+        listed(MARKED_RETRIES, false);
+        Peer client = twoAtOnce("300m", 500);
+        net.until("both answers", () -> client.heard().contains("HTTP/1.1 503"));
+        assertTrue(client.heard().startsWith("HTTP/1.1 200"), client.heard());
+        assertEquals(1, node.counters.sent);
+    }
+
+    /** Two requests in one write; the first is served after a while, and the second has so much time. */
+    private Peer twoAtOnce(String timeOfSecond, long ms) {
+        Peer client = connected();
+        client.say(job("c1", "once") + job("c2", "once").replace("30000m", timeOfSecond));
+        attempt(0, "c1").say(answer("202 Accepted", ""));
+        event("c1", "\"from\":\"s-0badcafe\",\"state\":\"started\"");
+        net.settle(ms);
+        done("c1", "one");
+        return client;
+    }
+
     // ---- A client that goes
 
     /** The request and the close are read in one turn: nobody is there any more, and nothing is sent. */
