A request's time counts from when its last byte was read, not from when it is parsed

Cause: IngressConnection.job took X-Time-Left as of the parse; a request that waits behind another of its connection, or while its client takes no answers, was given that time once more. Open: bytes in the kernel's buffer have no time.

--- a/src/main/java/beechseam/http/ServerConnection.java
+++ b/src/main/java/beechseam/http/ServerConnection.java
@@ -30,6 +30,7 @@
     private boolean partial;
     private boolean used;
     private long partialSince;
+    private long requestArrivedAt;
     private long endedAt;
 
     protected ServerConnection(EventLoop loop, SocketChannel channel) throws IOException {
@@ -60,6 +61,7 @@
                 used = true;
                 busy = true;
                 keepAlive = parser.keepAlive();
+                requestArrivedAt = arrivedAt(in.remaining());
                 exchange(parser);
             }
         } catch (HttpException e) {
@@ -117,6 +119,14 @@
         }
     }
 
+    /**
+     * When the last byte of the request under way was read: it may have waited here behind another request,
+     * or while this one's peer took no answers.
+     */
+    protected final long requestArrivedAt() {
+        return requestArrivedAt;
+    }
+
     /** Has not sent a whole request yet, and owes one. */
     public final boolean unused() {
         return !used && !busy;
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -97,7 +97,8 @@
         } else if (node.ingress().crowded() || node.shedding()) {
             turnAway(jobClass);
         } else {
-            take(m, jobClass, id, budget, key);
+            long waited = node.loop.now() - requestArrivedAt();
+            take(m, jobClass, id, Math.max(1, budget - waited), key);
         }
     }
 
