Of equal loads a worker with an open connection gets the job, now and then another

Cause: on ties Dispatcher.choose took the least recently used worker, which of very many never has a connection that the pool still holds; and of a large group both workers drawn were strangers. Change: on ties an open connection decides before the least recent use, but for one job in eight, without which a slow worker with a connection kept a faster one from ever being known (DispatcherTest#performanceIndexScalesLoad failed then). In a large group one of the workers looked at is drawn from those with an open connection. A connection counts as open for half the limit on idle ones, as the node's pool keeps it (0.8 before). Weighed against fixed subsets: these need a size fitted to load, and a rule for when they are too small.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -26,13 +26,8 @@
     private static final double HERD = 0.7;
     /** Up to so many dispatchers can tell by reports and own sends what the others do; of more, less. */
     private static final double FEW = 8;
-    /** Weight of one run in a worker's PI once it has many; its inverse is how many runs it remembers. */
-    private static final double PI_GAIN = 0.08;
     /** Runs after which a worker's own PI outweighs its kind's: sizes are heavy-tailed, few tell little. */
     private static final double PI_SHRINK = 4;
-    /** A single run moves PI by no more than this (natural logarithm): a heavy tail is not a slow worker. */
-    private static final double PI_CLIP = 1.5;
-    private static final int MANY = 5000; // runs of a class, after which the scale of runs and PIs is held
     /** Share of a job's slack that may pass waiting at a worker; of the slack of a class of more worth. */
     private static final double QUEUE_SHARE = 0.7;
     private static final double YIELD_SHARE = 0.5;
@@ -50,8 +45,6 @@
     /** Copies and repeats for each job taken, and the most that all dispatchers together save up. */
     private static final double REPEATS_PER_JOB = 0.1;
     private static final double REPEATS_SAVED = 20;
-    /** Runs for which a hint is believed as it stands, before what hints have told so far outweighs that. */
-    private static final double HINT_TRUST = 10;
     /** How the price of a crossing or a new connection, by the job's worth, counts as load of each slot. */
     private static final double TOLL_LOAD = 8;
     /** The tick is this share of the shortest aim, but not below a least. */
@@ -64,6 +57,10 @@
     private static final int TRIES = 24;
     /** A worker of another zone is drawn the less by this, times what a crossing costs of the mean worth. */
     private static final double FAR = 100;
+    /** Of so many jobs one goes by the least recent use where loads are equal. */
+    private static final int JOBS_PER_EXPLORATION = 8;
+    /** Share of the limit on idle connections for which one is taken to be open: hosts close them sooner. */
+    private static final double KEPT_OPEN = 0.5;
     /** How far back own sends are remembered to date a report; no report is taken to be older. */
     private static final double HISTORY_NS = 4e9;
     private static final long LOG_GAP_NS = 5_000_000_000L;
@@ -80,11 +77,13 @@
     private final long tickNs;
     private final long minAimNs;
     private final Map<Long, Member> members = new LinkedHashMap<>();
-    private final Map<String, Speed> kinds = new LinkedHashMap<>();
+    private final Map<String, PerformanceIndex> kinds = new LinkedHashMap<>();
     private final Map<Long, Held> jobs = new LinkedHashMap<>();
     private final List<Held> waiting = new ArrayList<>();
     private final List<Member> ready = new ArrayList<>(), colds = new ArrayList<>();
-    private final ClassStats[] stats;
+    /** Workers that have ended an attempt; some may have no open connection any more. */
+    private final List<Member> used = new ArrayList<>();
+    private final ClassRunTimes[] stats;
 
     private long now, bornAt;
     private boolean ticking, listFailed, everReported;
@@ -93,81 +92,11 @@
     private long useCount, watchBackoffNs;
     private long loggedAt, refreshedAt, refused, failed;
 
-    /** Run times of a worker or kind: the mean logarithm of run time over what was expected. */
-    private static final class Speed {
-        double log, runs, size, slots;
-
-        void set(double theLog, double theRuns) {
-            log = theLog;
-            runs = theRuns;
-        }
-
-        void add(double value) {
-            runs++;
-            log += Math.max(-PI_CLIP, Math.min(PI_CLIP, value - log)) * Math.max(PI_GAIN, 1 / (runs + 1));
-        }
-    }
-
-    private static final class ClassStats {
-        final JobClass of;
-        final boolean worthByWork;
-        double logRun, logHint, hintVariance, hintCovariance, hints;
-        double meanRunNs, runs, longestBudgetNs, meanNeed = 1;
-
-        ClassStats(JobClass of, boolean worthByWork) {
-            this.of = of;
-            this.worthByWork = worthByWork;
-            meanRunNs = Math.max(of.aimNs(), 1);
-            logRun = Math.log(meanRunNs);
-        }
-
-        /** Logarithm of the expected run time; a hint counts for as much as hints have told so far. */
-        double expectedLog(Job job) {
-            if (job.workNs() <= 0) {
-                return logRun;
-            }
-            double hint = Math.log(job.workNs());
-            double trust = (HINT_TRUST + hints * (hintVariance > 0 ? hintCovariance / hintVariance : 1))
-                / (HINT_TRUST + hints);
-            return hints == 0 ? hint : logRun + Math.max(0, Math.min(1, trust)) * (hint - logHint);
-        }
-
-        /** Worth of a unit of work. */
-        double density() {
-            return worthByWork ? of.worth() : of.worth() / (meanRunNs * meanNeed);
-        }
-
-        /** What being late loses of the worth, inverted: where it loses less, queues may be longer. */
-        double patience() {
-            return 1 / Math.max(0.1, 1 - of.lateWorth());
-        }
-
-        double slackNs() { // how long a usual job may wait
-            return of.aimNs() + Math.max(0, of.stretch() - 1) * Math.exp(logRun);
-        }
-
-        void learn(Job job, double log, double runNs) {
-            double gain = Math.max(0.01, 1 / (runs + 1));
-            if (job.workNs() > 0) {
-                double hint = Math.log(job.workNs());
-                double off = hint - logHint;
-                double hintGain = Math.max(0.01, 1 / ++hints);
-                logHint += off * hintGain;
-                hintVariance += (off * (hint - logHint) - hintVariance) * hintGain;
-                hintCovariance += (off * (log - logRun) - hintCovariance) * hintGain;
-            }
-            double most = runs > MANY ? PI_CLIP : 1e3; // as PIs are, or the two drift apart
-            logRun += Math.max(-most, Math.min(most, log - logRun)) * gain;
-            meanRunNs += (runNs - meanRunNs) * gain;
-            runs++;
-        }
-    }
-
     /** A worker on the list, with its row of the el table. */
     private static final class Member {
         Worker info;
-        Speed kind;
-        final Speed speed = new Speed();
+        PerformanceIndex kind;
+        final PerformanceIndex speed = new PerformanceIndex();
         final List<Attempt> out = new ArrayList<>();
         final ArrayDeque<double[]> changes = new ArrayDeque<>();
         final ArrayDeque<double[]> coldSent = new ArrayDeque<>();
@@ -175,7 +104,7 @@
         double doubt = 1, pi = 1;
         Load lastLoad;
         long idle, idleAt, loadChangedAt, reportAt, probeAt, lastUsed, doubtAt;
-        boolean slotsKnown, probing;
+        boolean slotsKnown, probing, isUsed;
 
         boolean usable() {
             return info.state() == State.READY;
@@ -195,7 +124,7 @@
     private static final class Held {
         Job job;
         JobClass of;
-        ClassStats stats;
+        ClassRunTimes stats;
         double need;
         long takenAt, leavesAt, aimAt, latestStart;
         double workNs;
@@ -224,12 +153,12 @@
         double few = Math.min(1, FEW / Math.max(1, settings.groupSize()));
         seen = few * few; // of what is sent its own is a share, and its own answers bring a share of the news
         bornAt = now;
-        stats = new ClassStats[settings.classes().size()];
+        stats = new ClassRunTimes[settings.classes().size()];
         long aim = Long.MAX_VALUE;
         double worth = 0;
         for (int i = 0; i < stats.length; i++) {
             JobClass c = settings.classes().get(i);
-            stats[i] = new ClassStats(c, settings.worthByWork());
+            stats[i] = new ClassRunTimes(c, settings.worthByWork());
             aim = Math.min(aim, Math.max(c.aimNs(), MIN_TICK_NS));
             worth += c.worth();
         }
@@ -337,11 +266,15 @@
     /** Effective load with the job on it, by the paper: floor((sf/tol)·(nrl + pbl·need)), pbl being 1. */
     private double el(Member m, Held h) {
         double el = Math.floor(sf(m) / TOL * (rawLoad(m) + h.need));
-        boolean open = m.idle > 0 && now - m.idleAt < 0.8 * limits.idleCloseNs();
-        double toll = crossing(h, m) + (open ? 0 : settings.handshakePrice() * priceWeight(h));
+        double toll = crossing(h, m) + (connected(m) ? 0 : settings.handshakePrice() * priceWeight(h));
         return el + Math.floor(toll * TOLL_LOAD * m.slots / TOL);
     }
 
+    /** Whether a connection to it stands idle, as far as can be told from here. */
+    private boolean connected(Member m) {
+        return m.idle > 0 && now - m.idleAt < KEPT_OPEN * limits.idleCloseNs();
+    }
+
     /** What sending the job there costs for crossing zones, as a share of the job's worth. */
     private double crossing(Held h, Member m) {
         return m.info.zone().equals(settings.zone()) ? 0
@@ -365,9 +298,10 @@
     private void learn(Attempt a) {
         long from = a.startedAt >= 0 ? a.startedAt : a.sentAt;
         double run = Math.max(1, (now - from) * ramp(a.at, from)); // as if warm: the ramp counts by itself
-        ClassStats s = a.job.stats;
+        ClassRunTimes s = a.job.stats;
         double value = Math.log(run) - s.expectedLog(a.job.job);
-        double taken = (s.runs > MANY ? 0.9 : 1) * Math.max(-4, Math.min(4, relative(a.at)));
+        double share = s.runs > ClassRunTimes.MANY_RUNS ? 0.9 : 1;
+        double taken = share * Math.max(-4, Math.min(4, relative(a.at)));
         double atMeanSpeed = run / Math.exp(taken);
         s.learn(a.job.job, Math.log(atMeanSpeed), atMeanSpeed);
         meanRunNs += Math.max(0.01, 1 / ++runs) * (atMeanSpeed * a.job.need - meanRunNs);
@@ -460,7 +394,7 @@
                 continue;
             }
             double el = el(m, h);
-            if (best == null || el < bestEl || el == bestEl && m.lastUsed < best.lastUsed) {
+            if (best == null || el < bestEl || el == bestEl && precedes(m, best)) {
                 best = m;
                 bestEl = el;
             }
@@ -468,6 +402,16 @@
         return best;
     }
 
+    /**
+     * Of equal loads an open connection decides, which costs no handshake, then the least recent use; now and
+     * then that alone, or a worker that is never used could never show that it is faster.
+     */
+    private boolean precedes(Member m, Member other) {
+        boolean explores = useCount % JOBS_PER_EXPLORATION == 0;
+        boolean open = connected(m);
+        return explores || open == connected(other) ? m.lastUsed < other.lastUsed : open;
+    }
+
     /**
      * Whom a job may go to: all, where the table tells what they hold. Many dispatchers that were told the
      * same a while ago would all choose alike; there each draws some, by what they can do. Mitzenmacher,
@@ -478,6 +422,10 @@
             return members.values();
         }
         List<Member> drawn = new ArrayList<>(colds); // a turn at a cold worker is not left to chance
+        Member open = drawConnected();
+        if (open != null && !drawn.contains(open) && suits(h, open)) {
+            drawn.add(open);
+        }
         int wanted = colds.size() + (int) Math.max(DRAWN, seen * ready.size());
         for (int i = 0; i < TRIES + 2 * wanted && drawn.size() < wanted && !ready.isEmpty(); i++) {
             Member m = readyAt(random.nextDouble() * capacity);
@@ -488,6 +436,21 @@
         return drawn;
     }
 
+    /** Any worker with an open connection, or null: of very many workers one drawn at random has none. */
+    private Member drawConnected() {
+        while (!used.isEmpty()) {
+            int place = random.nextInt(used.size());
+            Member m = used.get(place);
+            if (m.usable() && connected(m)) {
+                return m;
+            }
+            used.set(place, used.get(used.size() - 1));
+            used.remove(used.size() - 1);
+            m.isUsed = false;
+        }
+        return null;
+    }
+
     /** The worker at this place in the sum of capacities; O(log n). */
     private Member readyAt(double at) {
         int low = 0;
@@ -533,7 +496,7 @@
         double share = QUEUE_SHARE * (left > 0.8 * (h.latestStart - h.takenAt) ? seen : 1);
         double slack = Math.max(left, h.of.aimNs() * 0.25) * share * h.stats.patience();
         double reserve = 0; // a less worthy job leaves some room to the next of a worthier class
-        for (ClassStats s : stats) {
+        for (ClassRunTimes s : stats) {
             if (s.density() > h.stats.density()) {
                 slack = Math.min(slack, s.slackNs() * YIELD_SHARE * s.patience());
                 reserve = RESERVE * m.slots;
@@ -786,6 +749,9 @@
         own(a.at, -h.need);
         a.at.idle += load != null || outcome == Outcome.SERVED ? 1 : 0; // its connection stays open a while
         a.at.idleAt = now;
+        if (!a.at.isUsed && seen < 1) {
+            a.at.isUsed = used.add(a.at);
+        }
         report(a.at, load);
         h.answered |= closed;
         switch (outcome) {
@@ -972,7 +938,7 @@
             Member m = members.get(w.id());
             if (m == null) {
                 m = new Member();
-                m.kind = kinds.computeIfAbsent(w.kind(), k -> new Speed());
+                m.kind = kinds.computeIfAbsent(w.kind(), k -> new PerformanceIndex());
                 m.slots = m.kind.slots > 0 ? m.kind.slots : slotsOfAny; // until it reports
                 m.lastUsed = -random.nextInt(1 << 20);
                 members.put(w.id(), m);
@@ -1001,7 +967,7 @@
         Map<String, double[]> all = new LinkedHashMap<>();
         double told = everReported ? 1 : 0;
         all.put("", new double[] {meanRunNs, runs, othersMean, reportGapNs, startLagNs, told});
-        for (ClassStats s : stats) {
+        for (ClassRunTimes s : stats) {
             all.put("class " + s.of.name(),
                 new double[] {s.logRun, s.meanRunNs, s.runs, s.meanNeed, s.longestBudgetNs});
         }
@@ -1027,7 +993,7 @@
             everReported |= v[5] > 0;
             bornAt = now - rules.overloadForNs(); // what was sent to cold workers before is known
         });
-        for (ClassStats s : stats) {
+        for (ClassRunTimes s : stats) {
             take(learned, "class " + s.of.name(), 5, v -> {
                 s.logRun = v[0];
                 s.meanRunNs = v[1];
