Windows leave 150 ms for the write, and what was never forwarded is refused, not failed

Cause: Engine.begins compared the clock with the very end of the window, and did so for an attempt that repeats nothing; Engine.expire answered 502 for a request that the module still held, though nothing of it had been sent. Change: Dispatcher.repeatsEnd is asked for an attempt by number and holds for repeats alone, and the engine leaves 150 ms of it for a process that is held up; a request none of whose attempts has begun is refused at its deadline, with when to come back.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -645,7 +645,7 @@
     private boolean groupAllows(Held h, Member m) {
         Attempt first = h.firstMayHaveRun();
         boolean bound = first != null && h.of.effect() == Effect.KEYED;
-        if (!bound || now > repeatsEnd(h.job.id()) - tickNs) {
+        if (!bound || now > windowEnd(first) - tickNs) {
             return !bound;
         }
         return switch (h.of.group()) {
@@ -655,11 +655,18 @@
         };
     }
 
-    /** When an attempt at the job must have begun; the host asks again, as one may wait for a connection. */
-    public long repeatsEnd(long job) {
+    /**
+     * When the attempt must have begun where it repeats one that may have run, else the end of time; the host
+     * asks again, as an attempt may wait for a connection.
+     */
+    public long repeatsEnd(long job, int number) {
         Attempt first = jobs.containsKey(job) ? jobs.get(job).firstMayHaveRun() : null;
-        return first == null || first.job.of.effect() != Effect.KEYED ? Long.MAX_VALUE
-            : first.sentAt + first.job.of.windowNs();
+        boolean repeats = first != null && first.number < number && first.job.of.effect() == Effect.KEYED;
+        return repeats ? windowEnd(first) : Long.MAX_VALUE;
+    }
+
+    private static long windowEnd(Attempt first) {
+        return first.sentAt + first.job.of.windowNs();
     }
 
     private Attempt attempt(long job, int number) {
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -26,6 +26,9 @@
     /** An answer leaves this long before the client gives up: it has a way to go yet. */
     public static final long ANSWER_MARGIN_NS = 25_000_000L;
 
+    /** A process may be held up for so long between reading its clock and writing. */
+    private static final long HELD_UP_NS = 150_000_000L;
+
     private final LongSupplier clock;
     private final Timers timers;
     private final Egress egress;
@@ -205,15 +208,23 @@
                 end(attempt, attempt.begun ? Outcome.TIMEOUT : Outcome.NOT_SENT, null, null);
             }
         }
-        if (!r.finished && r.deferred) {
+        if (r.finished) {
+            return;
+        }
+        if (r.deferred) {
             shed(r, limits.retryAfter() ? Math.min(gate.opensWithinNs(), limits.maxRetryAfterNs()) : 0);
-        } else if (!r.finished) { // the module would still wait, but the client does not
+            return;
+        }
+        // The module would still wait, but the client does not.
+        if (r.attempts.stream().noneMatch(attempt -> attempt.begun)) {
+            shed(r, limits.retryAfter() ? limits.maxRetryAfterNs() : 0); // harmless: nothing was ever sent
+        } else {
             counters.of(r.jobClass).failed++;
             finish(r);
             r.ingress.failed(r, cut ? "the node is stopping" : "no answer in time");
-            module.left(now(), r.id);
-            forget(r);
         }
+        module.left(now(), r.id);
+        forget(r);
     }
 
     private void shed(Request r, long pauseNs) {
@@ -261,7 +272,7 @@
             return false;
         }
         boolean wanted = !r.finished && r.ingress.waits(r) && !r.finished && !attempt.over;
-        if (wanted && routes.serving(attempt.target) && now() < module.repeatsEnd(r.id)) {
+        if (wanted && routes.serving(attempt.target) && now() < repeatsEnd(attempt)) {
             attempt.begun();
             return true;
         }
@@ -269,6 +280,10 @@
         return false;
     }
 
+    private long repeatsEnd(Attempt attempt) {
+        return module.repeatsEnd(attempt.request.id, attempt.number) - HELD_UP_NS;
+    }
+
     /** It ends with nothing sent; {@code wanted}: its client still waits. */
     private void withhold(Attempt attempt, boolean wanted) {
         counters.withheld += wanted ? 1 : 0;
