With short deadlines clients are sent away 0.4 s after SIGTERM, not 0.7

Cause: PlatformNode.stop let clients stay for 0.7 s at least, whatever the longest deadline; with 250 ms SIGKILL comes at 0.95 s, so they were sent away 0.25 s and idle connections closed 30 ms before it. Change: they stay until no new connections come (0.4 s), as before where deadlines are of 1 s and more. Measured: CrossingsTest#withShortDeadlinesClientsAreSentAwayOnceNoNewOnesCome, red before (no Connection: close at 0.45 s).

--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -29,6 +29,8 @@
      * are sent away {@link #LAST_REQUEST_NS} before these.
      */
     private static final long KILL_NS = 700_000_000L;
+    /** So long after SIGTERM new connections come, and clients that are sent away could come back here. */
+    private static final long NEW_CONNECTIONS_NS = 400_000_000L;
     private static final long MOST_COUNTED_NS = 3_000_000_000L;
     private static final long KILL_MARGIN_NS = 300_000_000L;
     private static final long LAST_REQUEST_NS = 1_000_000_000L;
@@ -287,7 +289,7 @@
             engine.lastAnswer(loop.now() + last);
             // On standby clients have found other nodes: nothing is waited for.
             long late = drainSchedule != DrainSchedule.NONE ? loop.now()
-                : loop.now() + Math.max(KILL_NS, last - LAST_REQUEST_NS);
+                : loop.now() + Math.max(NEW_CONNECTIONS_NS, last - LAST_REQUEST_NS);
             LOG.log(Level.INFO, "stopping with " + engine.open() + " open requests");
             depart(late);
             loop.timers.set(drain, loop.now() + DRAIN_CHECK_NS); // the last who wait are accepted by then
--- a/src/test/java/beechseam/platform/CrossingsTest.java
+++ b/src/test/java/beechseam/platform/CrossingsTest.java
@@ -116,6 +116,28 @@
         return client;
     }
 
+    // ---- The end, where SIGKILL may come soon
+
+    /** With short deadlines it comes soon after SIGTERM: clients go as soon as no new ones come. */
+    @Test
+    void withShortDeadlinesClientsAreSentAwayOnceNoNewOnesCome() {
+        listed(SETTINGS.replace("60000000000,\"Effect\"", "250000000,\"Effect\""), false);
+        Peer client = connected();
+        Peer silent = connected();
+        node.stop(() -> stopped = true);
+        net.settle(300);
+        client.say("GET /_health HTTP/1.1\r\n\r\n");
+        String before = heard(client, "not ready\n");
+        assertFalse(before.contains("Connection: close"), "it could come back here: " + before);
+        net.settle(150);
+        client.say("GET /_health HTTP/1.1\r\n\r\n");
+        String after = heard(client, "not ready\n");
+        assertTrue(after.contains("Connection: close"), after);
+        assertTrue(silent.gone, "idle ones are closed");
+        client.close();
+        net.until("the end", () -> stopped);
+    }
+
     // ---- A client that goes
 
     /** The request and the close are read in one turn: nobody is there any more, and nothing is sent. */
