Choosing among thousands of workers asks what is dear only of those that lead

Cause: Dispatcher.choose asked every worker's suitability and threshold before its load, and rawLoad took an exponential for each, though the reports of most of very many workers are long past. EgressPool asked each waiting server for room again once there was none. Change: load first, then the rest of those that would be best; a report of over 30 mean runs ago counts as the mean.

--- a/src/main/java/beechseam/Dispatcher.java
+++ b/src/main/java/beechseam/Dispatcher.java
@@ -61,6 +61,8 @@
     private static final int JOBS_PER_EXPLORATION = 8;
     /** Share of the limit on idle connections for which one is taken to be open: hosts close them sooner. */
     private static final double KEPT_OPEN = 0.5;
+    /** A report of so many mean runs ago tells nothing any more: by e to that. */
+    private static final double FORGOTTEN = 30;
     /** How far back own sends are remembered to date a report; no report is taken to be older. */
     private static final double HISTORY_NS = 4e9;
     private static final long LOG_GAP_NS = 5_000_000_000L;
@@ -232,10 +234,14 @@
             return m.own * settings.groupSize();
         }
         double mean = othersMean * m.slots;
+        double age = (now - m.reportAt + reportGapNs / 2) / meanRunNs;
+        if (age > FORGOTTEN) {
+            return m.own + mean; // as it is for most of very many workers
+        }
         // Others see what we see and choose alike: what we have added since the report, they have in part.
         double herd = HERD * Math.min(FEW, settings.groupSize() - 1) * Math.max(0, m.own - m.ownAtReport);
         // By the age of what it tells: a report that was late already must not draw a crowd.
-        double fade = Math.exp((m.reportAt - reportGapNs / 2 - now) / meanRunNs);
+        double fade = Math.exp(-age);
         return m.own + mean + (m.others + herd - mean) * fade;
     }
 
@@ -390,11 +396,10 @@
         Member best = null;
         double bestEl = 0;
         for (Member m : among) {
-            if (!suits(h, m) || !underThreshold(h, m, copy)) {
-                continue;
-            }
             double el = el(m, h);
-            if (best == null || el < bestEl || el == bestEl && precedes(m, best)) {
+            // Most are no better than the best so far: what is dearer to ask comes after.
+            boolean better = best == null || el < bestEl || el == bestEl && precedes(m, best);
+            if (better && suits(h, m) && underThreshold(h, m, copy)) {
                 best = m;
                 bestEl = el;
             }
--- a/src/main/java/beechseam/platform/EgressPool.java
+++ b/src/main/java/beechseam/platform/EgressPool.java
@@ -194,16 +194,15 @@
     private void sendQueued() {
         for (Target t : List.copyOf(queued)) {
             int most = t.queue.size();
-            for (int i = 0; i < most && !t.queue.isEmpty() && hasRoom(t) && !pause.armed(); i++) {
+            for (int i = 0; i < most && !t.queue.isEmpty() && t.open < mostPerTarget; i++) {
+                if (pause.armed() || open >= mostOpen && !closeAnIdleOne()) {
+                    return; // no further target has room either
+                }
                 send(t, poll(t));
             }
         }
     }
 
-    private boolean hasRoom(Target t) {
-        return !t.idle.isEmpty() || t.open < mostPerTarget && (open < mostOpen || closeAnIdleOne());
-    }
-
     private Exchange poll(Target t) {
         Exchange next = t.queue.poll();
         if (t.queue.isEmpty()) {
