Failing test: a configuration that is slow to read

The file is read on the loop, which stands still meanwhile. Measured: the node answered no health check while the pipe was empty, both ways.

--- a/src/test/java/beechseam/platform/StarterTest.java
+++ b/src/test/java/beechseam/platform/StarterTest.java
@@ -4,13 +4,18 @@
 
 import beechseam.Loopback.Peer;
 import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The whole program under what its starter has set: a limit of descriptors, a signal that is ignored. */
 class StarterTest extends ProgramRig {
@@ -41,6 +46,46 @@
         }
     }
 
+    /** The file is on a slow disk, or long: here a pipe that nobody has written to yet. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aConfigurationThatIsSlowToReadHoldsNobodyUp(boolean signal, @TempDir Path dir) throws Exception {
+        configure(dir, discoveryAt, SETTINGS);
+        Process serving = serve(dir, "true", Map.of());
+        try {
+            listed(2, row("SERVING"));
+            ready();
+            Path config = dir.resolve("config.json");
+            String text = Files.readString(config);
+            Files.delete(config);
+            assertEquals(0, new ProcessBuilder("mkfifo", config.toString()).start().waitFor());
+            if (signal) {
+                String pid = Long.toString(serving.pid());
+                assertEquals(0, new ProcessBuilder("kill", "-HUP", pid).start().waitFor());
+            } else {
+                discovery.forEach(Peer::close); // its address resets: the file is looked at
+            }
+            net.settle(300);
+            Peer health = client().say("GET /_health HTTP/1.1\r\n\r\n");
+            net.until("an answer meanwhile", () -> health.heard().endsWith("ready\n"));
+            Files.writeString(config, text, StandardOpenOption.WRITE);
+            if (signal) {
+                net.until("the reload", () -> said(dir).contains("reload: done"));
+            }
+            assertTrue(serving.isAlive());
+        } finally {
+            serving.destroyForcibly();
+        }
+    }
+
+    private static String said(Path dir) {
+        try {
+            return Files.readString(dir.resolve("log"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Room for discovery's calls and for attempts is not lent to clients, however many there are. */
     @Test
     void idleClientsMayFillTheDescriptorsWhileDiscoveryIsDown(@TempDir Path dir) throws Exception {
