A configuration is read beside the loop, at SIGHUP and when discovery's address resets

Cause: Serve.reload ran on the loop and Discovery.rereadAddress read the file there; cold code and a long list of known servers take 100 ms and more, in which the node reads nothing, and what came meanwhile was told too much time. Change: at SIGHUP the signal's thread reads the file, one at a time so that the file read last counts last, and posts it; discovery's look goes by EventLoop.callAside.

--- a/src/main/java/beechseam/cli/Serve.java
+++ b/src/main/java/beechseam/cli/Serve.java
@@ -21,6 +21,8 @@
 @Parameters(commandDescription = "Run a node; the platform tells it how by PROXY_CONFIG and its companions")
 final class Serve extends Main.Command {
     private static final Logger LOG = System.getLogger(Serve.class.getName());
+    /** Held while a configuration is read. */
+    private static final Object RELOADING = new Object();
 
     @Parameter(names = "--config", description = "The node's configuration, in place of PROXY_CONFIG")
     private String config;
@@ -48,7 +50,7 @@
             : platformWanted ? null : GearmanConfig.usual();
         EventLoop loop = new EventLoop();
         PlatformNode[] reloaded = {null};
-        on("HUP", () -> loop.post(() -> reload(reloaded[0], environment)));
+        on("HUP", () -> reload(loop, reloaded, environment));
         PlatformNode platform = node == null ? null : new PlatformNode(loop, node);
         reloaded[0] = platform;
         if (platform != null) {
@@ -117,16 +119,29 @@
         }
     }
 
-    /** On the loop: a configuration that cannot be used leaves the node as it was. */
-    private static void reload(PlatformNode platform, Map<String, String> environment) {
+    /**
+     * On the signal's thread: a long file takes its time, for which the loop must not stand still. One at a
+     * time, so that of signals in quick succession the file as read last counts last. A configuration that
+     * cannot be used leaves the node as it was.
+     *
+     * @param platform holds the node once there is one, which the loop's tasks see
+     */
+    private static void reload(EventLoop loop, PlatformNode[] platform, Map<String, String> environment) {
+        synchronized (RELOADING) {
+            try {
+                NodeConfig next = NodeConfig.reload(environment);
+                loop.post(() -> reload(platform[0], () -> platform[0].reload(next)));
+            } catch (ConfigException e) {
+                loop.post(() -> reload(platform[0], () -> platform[0].refuseReload(e.getMessage())));
+            }
+        }
+    }
+
+    private static void reload(PlatformNode platform, Runnable reload) {
         if (platform == null) {
             LOG.log(Level.WARNING, "reload: the Gearman front reads its file at the start only");
-            return;
-        }
-        try {
-            platform.reload(NodeConfig.reload(environment));
-        } catch (ConfigException e) {
-            platform.refuseReload(e.getMessage());
+        } else {
+            reload.run();
         }
     }
 }
--- a/src/main/java/beechseam/net/EventLoop.java
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -12,7 +12,9 @@
 import java.util.LinkedHashSet;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 /** One thread that serves all connections and timers. No exception leaves it. */
 public final class EventLoop {
@@ -63,6 +65,23 @@
         selector.wakeup();
     }
 
+    /**
+     * Makes a slow call, such as reading a file, on a thread of its own, and hands what it gave, or the
+     * exception that it threw, to the loop's thread: the loop must not stand still for it.
+     */
+    public <T> void callAside(Callable<T> call, Consumer<T> done, Consumer<Exception> failed) {
+        Thread aside = new Thread(() -> {
+            try {
+                T result = call.call();
+                post(() -> done.accept(result));
+            } catch (Exception e) {
+                post(() -> failed.accept(e));
+            }
+        }, "aside");
+        aside.setDaemon(true);
+        aside.start();
+    }
+
     /**
      * Runs it on the loop's thread when all that this turn brings has been seen to; for the loop's thread
      * only.
--- a/src/main/java/beechseam/platform/Discovery.java
+++ b/src/main/java/beechseam/platform/Discovery.java
@@ -3,10 +3,8 @@
 import beechseam.Dispatching.ListForm;
 import beechseam.Dispatching.State;
 import beechseam.Dispatching.Worker;
-import beechseam.config.ConfigException;
 import beechseam.config.Json;
 import beechseam.config.MemberList;
-import beechseam.config.NodeConfig;
 import beechseam.core.Engine;
 import beechseam.http.HttpException;
 import beechseam.http.HttpParser;
@@ -48,6 +46,7 @@
     private String host;
     private PlatformNode.Configuration configuration;
     private long rereadAt;
+    private boolean rereading;
     /** Complaints of lists that have been logged since the last one that could be used. */
     private final Set<String> complaints = new HashSet<>();
 
@@ -111,16 +110,22 @@
      * at the old address would then go on for good.
      */
     private void rereadAddress() {
-        if (configuration == null || loop.now() - rereadAt < REREAD_INTERVAL_NS) {
+        if (configuration == null || rereading || loop.now() - rereadAt < REREAD_INTERVAL_NS) {
             return;
         }
-        rereadAt = loop.now();
-        try {
-            NodeConfig now = configuration.read();
+        rereading = true;
+        loop.callAside(configuration::read, now -> {
+            reread();
             move(now.discovery(), now.discoveryHost());
-        } catch (ConfigException e) {
-            LOG.log(Level.WARNING, "discovery is not at " + host + ", and " + e.getMessage());
-        }
+        }, why -> {
+            reread();
+            LOG.log(Level.WARNING, "discovery is not at " + host + ", and " + why.getMessage());
+        });
+    }
+
+    private void reread() {
+        rereading = false;
+        rereadAt = loop.now();
     }
 
     @Override
