--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of all cases into review/out.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p out
+javac -nowarn -d out standin/*.java
