Review case 2: a second answer makes unsafe jobs run twice

A connection to an executor rests for 20 ms after an answer, so that a late second answer is not taken for the answer to the next request. The pool passes over that rest for an exchange that waits, and where it has no room for a further connection, so that a repeated 503 makes the node send a job elsewhere that the executor has taken.

Ports of the cases now come from a range that the system does not hand out, since in one run a stand-in had got the node's port.

--- a/review/standin/Executor.java
+++ b/review/standin/Executor.java
@@ -56,9 +56,10 @@
             for (Kit.Message call = Kit.read(in); call != null; call = Kit.read(in)) {
                 String[] words = call.first().split(" ");
                 if (words[0].equals("GET")) {
+                    boolean probe = words[1].equals("/_load") || words[1].equals("/ping");
                     Kit.write(
                             socket.getOutputStream(),
-                            "HTTP/1.1 200 OK\r\n",
+                            probe ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 404 Not Found\r\n",
                             words[1].equals("/_load") ? Kit.bytes(load()) : new byte[0]);
                 } else if (words[0].equals("DELETE")) {
                     boolean given = giveUp(words[1].substring("/jobs/".length()));
--- a/review/standin/HalfRequestCase.java
+++ b/review/standin/HalfRequestCase.java
@@ -70,6 +70,9 @@
         }
         kit.log("node", "counters " + Kit.ask(node, "GET /_counters HTTP/1.1\r\nHost: n\r\n\r\n", 2000).text().strip());
         kit.recordLog("node");
+        if (answered == 0) {
+            throw new IOException("no job was served");
+        }
         kit.end(
                 lost > 0,
                 lost + " of " + ORDINARY_CLIENTS * JOBS_EACH
@@ -83,13 +86,14 @@
         Platform.Client client = new Platform.Client(node);
         for (int i = 0; i < JOBS_EACH; i++) {
             String id = String.format("c%02dj%03d", number, i);
-            String jobClass = i % 4 == 0 ? "default-flag" : "afford-check";
+            boolean keyed = i % 4 == 0;
+            String jobClass = keyed ? "default-flag" : "afford-check";
             Kit.Message answer = null;
             String seen;
             boolean written = false;
             boolean fresh = client.fresh();
             try {
-                client.write(Platform.job(id, jobClass, DEADLINE_MS, new byte[JOB_BYTES]));
+                client.write(Platform.job(id, jobClass, keyed, DEADLINE_MS, new byte[JOB_BYTES]));
                 written = true;
                 answer = client.answer((int) (DEADLINE_MS + LATE_MS));
                 seen = answer == null ? "the node closed the connection" : answer.first();
@@ -103,7 +107,7 @@
                 client = new Platform.Client(node);
                 written = false;
                 try {
-                    client.write(Platform.job(id, jobClass, DEADLINE_MS, new byte[JOB_BYTES]));
+                    client.write(Platform.job(id, jobClass, keyed, DEADLINE_MS, new byte[JOB_BYTES]));
                     written = true;
                     answer = client.answer((int) (DEADLINE_MS + LATE_MS));
                     seen = answer == null ? "the node closed the connection" : answer.first();
@@ -130,7 +134,7 @@
     private void badClient(int number) throws IOException {
         String seen;
         try (Platform.Client client = new Platform.Client(node)) {
-            byte[] whole = Platform.job("bad" + number, "afford-check", DEADLINE_MS, new byte[64 * 1024]);
+            byte[] whole = Platform.job("bad" + number, "afford-check", false, DEADLINE_MS, new byte[64 * 1024]);
             client.write(Arrays.copyOf(whole, BAD_BYTES));
             Kit.Message answer = client.answer(10_000);
             seen = answer == null ? "the node closed the connection" : answer.first();
--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -50,10 +52,17 @@
         record.flush();
     }
 
+    /** A free port below those that the system hands out, so that no other socket of the case gets it meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // taken: try another
+            }
         }
+        throw new IOException("no free port");
     }
 
     /** The command of the deploy file with that key. */
--- a/review/standin/Platform.java
+++ b/review/standin/Platform.java
@@ -126,11 +126,11 @@
                 + "\"ClassStretch\":[2.0,1.75,2.5,2.5],\"ReportX0\":\"free slots\",\"ReportX1\":\"\"}}";
     }
 
-    /** A request with a job. */
-    static byte[] job(String id, String jobClass, long timeLeftMs, byte[] body) {
+    /** A request with a job; one of a keyed class carries an idempotency key. */
+    static byte[] job(String id, String jobClass, boolean keyed, long timeLeftMs, byte[] body) {
         String head = "POST /" + jobClass + "?key=k" + id + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id
-                + "\r\nX-Service-Class: " + jobClass + "\r\nX-Time-Left: " + timeLeftMs + "m\r\nIdempotency-Key: key-"
-                + id + "\r\nContent-Length: " + body.length + "\r\n\r\n";
+                + "\r\nX-Service-Class: " + jobClass + "\r\nX-Time-Left: " + timeLeftMs + "m\r\n"
+                + (keyed ? "Idempotency-Key: key-" + id + "\r\n" : "") + "Content-Length: " + body.length + "\r\n\r\n";
         byte[] start = Kit.bytes(head);
         byte[] all = java.util.Arrays.copyOf(start, start.length + body.length);
         System.arraycopy(body, 0, all, start.length, body.length);
--- a/review/standin/SlowReaderCase.java
+++ b/review/standin/SlowReaderCase.java
@@ -15,7 +15,7 @@
 final class SlowReaderCase {
     private static final int READERS = 100; // max_connections is 4096
     private static final int PIECE_BYTES = 4000;
-    private static final int PIECES = 1500; // 6 MB for each job; max_unread_kb is 16 MB
+    private static final int PIECES = 2000; // 8 MB for each job; max_unread_kb is 16 MB
     private static final long PAUSE_MS = 10_000; // stall_ms is 30 s
     private static final int BYSTANDERS = 4;
 
