--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p out
-javac -nowarn -d out standin/*.java
+javac -J-XX:-UsePerfData -nowarn -d out standin/*.java
--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -124,6 +124,13 @@
             }
         }
         record.close();
+        deleteTemp();
+    }
+
+    private void deleteTemp() throws IOException {
+        if (!Files.exists(temp)) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(temp)) {
             for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(each);
@@ -152,6 +159,12 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 synchronized (open.processes) {
                     open.processes.forEach(Process::destroyForcibly);
+                    open.processes.forEach(each -> each.onExit().join());
+                }
+                try {
+                    open.deleteTemp();
+                } catch (IOException e) {
+                    e.printStackTrace();
                 }
             }));
             body.run(kit);
