Make requests wait for read memory instead of closing whoever asks next

Cause: InboundBuffer.ensureCapacity threw once all buffers above 8 KiB had a quarter of the heap (Buffers.grow), and Connection.ready closed the connection on which it was thrown, whoever had the memory. Logs and counters said nothing.

Change: large buffers are in shares (requests, responses and callbacks, others), each with a quota. A connection that finds none waits with its input in the kernel, in order; while it waits, requests that have stalled for 200 ms get 408, as many as needed; one that has waited for 400 ms is shed with 503, before an answer would be too late. The time in the kernel counts against the request. This works since the memory is now had from those who keep it without use, and whoever waits is answered in any case.

ConnectionTest#largeReadBuffersShareOneLimit and InboundBufferTest#exhausted- PoolFailsTheRead asserted the close, which is the fault. In their place the same bound is asserted on the quota to the byte, and that the connection above it waits, stays open and gets all of its input.

--- a/src/main/java/beechseam/core/Counters.java
+++ b/src/main/java/beechseam/core/Counters.java
@@ -90,6 +90,9 @@
     /** Requests and callbacks rejected as malformed. */
     public long badInput;
 
+    /** Jobs shed before they reached the dispatcher, and before their class was known. */
+    public long crowdedOutUnclassified;
+
     /** Attempts that were decided but not sent, although their client still waited. */
     public long withheld;
 
@@ -136,9 +139,9 @@
         return sum(each -> each.failed);
     }
 
-    /** Jobs shed before they reached the dispatcher, over all classes. */
+    /** Jobs shed before they reached the dispatcher, over all classes and those of unknown class. */
     public long crowdedOut() {
-        return sum(each -> each.crowdedOut);
+        return crowdedOutUnclassified + sum(each -> each.crowdedOut);
     }
 
     /** Accepted jobs that have no final answer yet, whether or not attempts are still in flight. */
@@ -157,6 +160,7 @@
         healthChecks += other.healthChecks;
         lateCallbacks += other.lateCallbacks;
         badInput += other.badInput;
+        crowdedOutUnclassified += other.crowdedOutUnclassified;
         withheld += other.withheld;
         silent += other.silent;
         faults += other.faults;
--- a/src/main/java/beechseam/http/ServerConnection.java
+++ b/src/main/java/beechseam/http/ServerConnection.java
@@ -1,5 +1,6 @@
 package beechseam.http;
 
+import beechseam.net.BufferShare;
 import beechseam.net.Connection;
 import beechseam.net.EventLoop;
 import java.io.IOException;
@@ -56,6 +57,9 @@
     /** Called after input that is not a well-formed request has been answered with the status of {@code cause}. */
     protected abstract void refused(HttpException cause);
 
+    /** Called when there is no memory for a request; answers it with one call of {@link #respond}. */
+    protected abstract void shedForMemory();
+
     /** Returns whether the server is shutting down; each answer then announces the close of its connection. */
     protected abstract boolean stopping();
 
@@ -158,18 +162,47 @@
         if (!exchanging) {
             catchUp();
         }
-        if (!exchanging && unwritten() == 0) {
+        if (!exchanging && unwritten() == 0 && !awaitsReadMemory()) {
             close();
         }
     }
 
+    @Override
+    protected BufferShare bufferShare() {
+        return BufferShare.REQUESTS;
+    }
+
+    /** Answers a request that has stalled, as its part takes memory that whole requests need. */
+    @Override
+    protected final void readMemoryNeeded() {
+        if (partial && !exchanging) {
+            HttpException cause = new HttpException(408, "the request stalled while memory was short");
+            answerIncomplete(() -> respond(cause.status, "Content-Type: text/plain\r\n", text(cause.getMessage())));
+            refused(cause);
+        }
+    }
+
+    @Override
+    protected final void readMemoryUnavailable() {
+        if (!exchanging) {
+            answerIncomplete(this::shedForMemory);
+        }
+    }
+
+    /** Answers a request that is not complete; it is the last one of the connection, as its end is unknown. */
+    private void answerIncomplete(Runnable answer) {
+        partial = false;
+        exchanging = true;
+        keepAlive = false;
+        answer.run();
+    }
+
     /** Enforces the time-outs; the owner calls it regularly with the loop's time in ns. */
     public final void sweep(long now) {
         boolean silent = unused() && !partial && now - acceptedNs > REQUEST_TIMEOUT_NS;
-        if (partial && !exchanging && now - partialSinceNs > REQUEST_TIMEOUT_NS) {
-            exchanging = true;
-            keepAlive = false;
-            respond(408, "Content-Type: text/plain\r\n", text("the request did not come in time"));
+        if (partial && !exchanging && !awaitsReadMemory() && now - partialSinceNs > REQUEST_TIMEOUT_NS) {
+            answerIncomplete(
+                    () -> respond(408, "Content-Type: text/plain\r\n", text("the request did not come in time")));
         } else if (silent || idle() && now - lastActivity() > IDLE_TIMEOUT_NS) {
             closeUnlessAsked();
         } else if (unwritten() > 0
--- a/src/main/java/beechseam/net/Buffers.java
+++ b/src/main/java/beechseam/net/Buffers.java
@@ -2,30 +2,37 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.EnumMap;
+import java.util.Map;
 
 /**
  * A pool of read buffers. A connection borrows a buffer only while it has unconsumed bytes. Buffers of the standard
- * size are reused; larger ones are allocated for long messages, and their total size is limited.
+ * size are reused; larger ones are allocated for long messages, and each {@link BufferShare} limits their total size.
  */
 public final class Buffers {
     /** Capacity of a standard buffer, in bytes. */
     public static final int SIZE = 8 * 1024;
 
     private static final int MAX_POOLED = 256;
-    /** All larger buffers together may take 1/4 of the heap: hundreds of peers may each send half a message. */
-    private static final int LARGE_BUFFERS_HEAP_DIVISOR = 4;
 
     private final ArrayDeque<ByteBuffer> pooled = new ArrayDeque<>();
-    private final long maxLargeBytes;
-    private long largeBytes;
+    private final Map<BufferShare, BufferQuota> quotas = new EnumMap<>(BufferShare.class);
 
-    /** Creates a pool whose larger buffers take at most a quarter of the heap. */
+    /** Creates a pool for the heap of this process. */
     public Buffers() {
-        this(Runtime.getRuntime().maxMemory() / LARGE_BUFFERS_HEAP_DIVISOR);
+        this(Runtime.getRuntime().maxMemory());
     }
 
-    Buffers(long maxLargeBytes) {
-        this.maxLargeBytes = maxLargeBytes;
+    /** Creates a pool for a heap of {@code heapBytes} bytes. */
+    public Buffers(long heapBytes) {
+        for (BufferShare share : BufferShare.values()) {
+            quotas.put(share, new BufferQuota(share, share.maxBytes(heapBytes)));
+        }
+    }
+
+    /** Returns the quota of the larger buffers of a share. */
+    BufferQuota quota(BufferShare share) {
+        return quotas.get(share);
     }
 
     /** Returns an empty buffer of {@link #SIZE} bytes. */
@@ -34,26 +41,9 @@
         return buffer != null ? buffer : ByteBuffer.allocate(SIZE);
     }
 
-    /**
-     * Replaces a buffer by a larger one of {@code capacity} bytes with the same content, and releases the smaller one.
-     *
-     * @return the larger buffer; null, with the smaller one unchanged, if the larger buffers would exceed their limit
-     */
-    ByteBuffer grow(ByteBuffer smaller, int capacity) {
-        if (largeBytes + capacity > maxLargeBytes) {
-            return null;
-        }
-        largeBytes += capacity;
-        ByteBuffer larger = ByteBuffer.allocate(capacity).put(smaller.flip());
-        release(smaller);
-        return larger;
-    }
-
-    /** Returns a buffer to the pool; the caller must not use it afterwards. */
+    /** Returns a buffer of the standard size to the pool; the caller must not use it afterwards. */
     void release(ByteBuffer buffer) {
-        if (buffer.capacity() > SIZE) {
-            largeBytes -= buffer.capacity();
-        } else if (pooled.size() < MAX_POOLED) {
+        if (pooled.size() < MAX_POOLED) {
             pooled.addFirst(buffer.clear());
         }
     }
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -20,6 +20,7 @@
 
     private final SocketChannel channel;
     private final OutboundQueue outbound = new OutboundQueue();
+    private final ReadMemory readMemory;
     private final InboundBuffer inbound;
     /** Null until an outgoing connection is registered. */
     private SelectionKey key;
@@ -28,7 +29,6 @@
     private AfterLastWrite afterLastWrite = AfterLastWrite.STAY_OPEN;
     private InputMode inputMode = InputMode.OFFER;
     private boolean offering;
-    private boolean peerEnded;
     private boolean readPaused;
     private boolean flushScheduled;
     private long discardedBytes;
@@ -42,7 +42,8 @@
      */
     protected Connection(EventLoop loop, SocketChannel channel, int maxReadBytes) throws IOException {
         this.loop = loop;
-        this.inbound = new InboundBuffer(loop.buffers, maxReadBytes);
+        this.readMemory = new ReadMemory(this, maxReadBytes);
+        this.inbound = readMemory.inbound;
         this.channel = channel != null ? channel : SocketChannel.open();
         this.channel.configureBlocking(false);
         if (this.channel.supportedOptions().contains(StandardSocketOptions.TCP_NODELAY)) { // Unix sockets lack it
@@ -140,6 +141,9 @@
      */
     public final void endWhenWritten() {
         afterLastWrite = AfterLastWrite.HALF_CLOSE;
+        if (!offering) {
+            readMemory.release();
+        }
         if (state == ConnectionState.OPEN && outbound.pendingBytes() == 0) {
             finish();
         }
@@ -147,7 +151,7 @@
 
     /** Whether the end of the input has been read; {@link #lost} is then called after {@link #received}. */
     protected final boolean peerEnded() {
-        return peerEnded;
+        return readMemory.endOfStream();
     }
 
     /** Returns whether {@link #endWhenWritten} has been called. */
@@ -174,7 +178,7 @@
             return;
         }
         state = ConnectionState.CLOSED;
-        inbound.release();
+        readMemory.release();
         outbound.clear();
         EventLoop.closeQuietly(channel);
         loop.descriptorFreed();
@@ -214,8 +218,8 @@
      * @return whether bytes, or the end of the peer's output, had arrived
      */
     public final boolean catchUp() {
-        boolean canRead = state == ConnectionState.OPEN && !readPaused && inputMode != InputMode.FULL && !peerEnded;
-        if (!canRead || ending() || offering) {
+        boolean canRead = state == ConnectionState.OPEN && !readPaused && inputMode != InputMode.FULL && !peerEnded();
+        if (!canRead || ending() || offering || awaitsReadMemory()) {
             return false;
         }
         try {
@@ -241,6 +245,11 @@
         return inbound.arrivedAt(followingBytes, lastActivityNs);
     }
 
+    /** Returns whether input stays in the kernel for lack of memory; it may be a whole request. */
+    public final boolean awaitsReadMemory() {
+        return readMemory.waits();
+    }
+
     /** Returns whether input has been read that is not consumed. */
     protected final boolean hasUnused() {
         return !inbound.isEmpty();
@@ -284,26 +293,28 @@
 
     /** Reads the input that has arrived and passes it to the owner; returns whether there were any bytes. */
     private boolean read() throws IOException {
-        inbound.acquire();
         boolean discards = ending() || inputMode == InputMode.DISCARD;
         if (discards) {
             inbound.discard();
         }
-        inbound.ensureCapacity();
-        int received = fillBuffer();
-        if (peerEnded && received == 0) {
+        if (!readMemory.acquire()) {
+            updateInterestOps();
+            return false;
+        }
+        int received = readMemory.read(channel, readsUntilPeerCloses());
+        if (peerEnded() && received == 0) {
             throw new IOException("closed by the peer");
         }
         if (received > 0 && discards) {
             countDiscarded(received);
         } else if (received > 0) {
             lastActivityNs = loop.now();
-            inbound.recordArrival(received, lastActivityNs);
+            readMemory.recordArrival(received, lastActivityNs);
             offer();
         } else if (inbound.isEmpty()) {
             inbound.release();
         }
-        if (peerEnded && !closed()) {
+        if (peerEnded() && !closed()) {
             throw new IOException("closed by the peer");
         }
         if (!closed()) {
@@ -312,17 +323,6 @@
         return received > 0;
     }
 
-    private int fillBuffer() throws IOException {
-        int received = 0;
-        int count;
-        do { // stops at a full buffer: the owner consumes its input before more is read
-            count = inbound.readFrom(channel);
-            received += Math.max(0, count);
-        } while (count > 0 && inbound.hasRemaining() && readsUntilPeerCloses());
-        peerEnded = count < 0;
-        return received;
-    }
-
     private void countDiscarded(int bytes) throws IOException {
         inbound.discard();
         discardedBytes += bytes;
@@ -341,12 +341,15 @@
         } finally {
             offering = false;
         }
-        if (!closed()) {
+        if (ending()) {
+            inbound.release();
+        } else if (!closed()) {
             inbound.compact();
         }
     }
 
-    private void updateInterestOps() {
+    /** Registers for the operations that the connection is ready for. */
+    final void updateInterestOps() {
         if (inputMode != InputMode.DISCARD) {
             inputMode = inbound.isFull() && !ending() ? InputMode.FULL : InputMode.OFFER;
         }
@@ -355,7 +358,7 @@
             inbound.release();
         }
         if (key != null && key.isValid()) {
-            boolean reads = inputMode != InputMode.FULL && (!readPaused || ending());
+            boolean reads = inputMode != InputMode.FULL && !awaitsReadMemory() && (!readPaused || ending());
             key.interestOps(
                     (reads ? SelectionKey.OP_READ : 0) | (outbound.pendingBytes() > 0 ? SelectionKey.OP_WRITE : 0));
         }
--- a/src/main/java/beechseam/net/ConnectionCallbacks.java
+++ b/src/main/java/beechseam/net/ConnectionCallbacks.java
@@ -42,6 +42,23 @@
         return DEFAULT_MAX_DISCARDED_BYTES;
     }
 
+    /** The share of the heap from which read buffers above the standard size are taken. */
+    protected BufferShare bufferShare() {
+        return BufferShare.UNLIMITED;
+    }
+
+    /**
+     * Called while other connections wait for read memory and this one, which holds some, has stalled. An owner that
+     * can end its exchange with the peer then calls {@link Connection#endWhenWritten} or {@link Connection#close}.
+     */
+    protected void readMemoryNeeded() {}
+
+    /**
+     * Called when this connection has waited for read memory for longer than its peer should wait for an answer. An
+     * owner that can answer without the rest of the input does so and ends the connection; else the wait continues.
+     */
+    protected void readMemoryUnavailable() {}
+
     /**
      * Whether all input that the peer has sent, including the end of its output, is read before the bytes are passed to
      * {@link #received}. An owner that acts on a request needs it to learn whether the peer has closed after it.
--- a/src/main/java/beechseam/net/EventLoop.java
+++ b/src/main/java/beechseam/net/EventLoop.java
@@ -66,7 +66,8 @@
         this(new Buffers());
     }
 
-    EventLoop(Buffers buffers) throws IOException {
+    /** Creates a loop with a given pool of read buffers. */
+    public EventLoop(Buffers buffers) throws IOException {
         this.buffers = buffers;
         selector = Selector.open();
     }
--- a/src/main/java/beechseam/net/InboundBuffer.java
+++ b/src/main/java/beechseam/net/InboundBuffer.java
@@ -12,14 +12,18 @@
 final class InboundBuffer {
     private final Buffers pool;
     private final int maxBytes;
+    private final ReadMemory owner;
     private final ArrivalTimes arrivals = new ArrivalTimes();
     /** Null while no memory is borrowed. */
     private ByteBuffer buffer;
+    /** The quota from which a buffer above the standard size is taken; null for one of the standard size. */
+    private BufferQuota quota;
 
-    /** Creates an empty buffer that holds at most {@code maxBytes} bytes. */
-    InboundBuffer(Buffers pool, int maxBytes) {
+    /** Creates an empty buffer that holds at most {@code maxBytes} bytes; {@code owner} has the reservations. */
+    InboundBuffer(Buffers pool, int maxBytes, ReadMemory owner) {
         this.pool = pool;
         this.maxBytes = maxBytes;
+        this.owner = owner;
     }
 
     boolean isEmpty() {
@@ -37,16 +41,30 @@
         }
     }
 
-    /** Enlarges an acquired buffer that is full; throws if the large buffers of the pool would exceed their limit. */
-    void ensureCapacity() throws IOException {
+    /** Enlarges an acquired buffer that is full; returns false if the share has not enough memory left for it. */
+    boolean ensureCapacity(BufferShare share) {
         if (buffer.hasRemaining()) {
-            return;
+            return true;
         }
-        ByteBuffer larger = pool.grow(buffer, Math.min(maxBytes, buffer.capacity() * 2));
-        if (larger == null) {
-            throw new IOException("the limit of memory for large read buffers is reached");
+        int capacity = Math.min(maxBytes, 2 * buffer.capacity());
+        BufferQuota next = pool.quota(share);
+        if (!next.reserve(owner, capacity)) {
+            return false;
         }
+        ByteBuffer larger = ByteBuffer.allocate(capacity).put(buffer.flip());
+        returnMemory(next);
         buffer = larger;
+        quota = next;
+        return true;
+    }
+
+    /** Returns the memory of the current buffer; {@code next} is the quota of the buffer that replaces it, or null. */
+    private void returnMemory(BufferQuota next) {
+        if (quota == null) {
+            pool.release(buffer);
+        } else {
+            quota.release(owner, buffer.capacity(), next != quota);
+        }
     }
 
     boolean hasRemaining() {
@@ -58,16 +76,19 @@
         return channel.read(buffer);
     }
 
-    /** Discards the bytes and keeps the memory. */
+    /** Discards the bytes and keeps the memory, if any is borrowed. */
     void discard() {
-        buffer.clear();
+        if (buffer != null) {
+            buffer.clear();
+        }
     }
 
     /** Discards the bytes and returns the memory to the pool. */
     void release() {
         if (buffer != null) {
-            pool.release(buffer);
+            returnMemory(null);
             buffer = null;
+            quota = null;
         }
     }
 
@@ -76,9 +97,15 @@
         return buffer.flip();
     }
 
-    /** Keeps the bytes not consumed since {@link #flip}; returns the memory to the pool if there are none. */
+    /** Keeps the bytes not consumed since {@link #flip}, in a standard buffer if they fit; frees the rest. */
     void compact() {
-        if (buffer.position() == 0 && buffer.hasRemaining()) { // nothing was consumed: avoids copying a long message
+        int unconsumed = buffer.remaining();
+        if (quota != null && unconsumed > 0 && unconsumed < Buffers.SIZE) {
+            ByteBuffer smaller = pool.acquire().put(buffer);
+            returnMemory(null);
+            buffer = smaller;
+            quota = null;
+        } else if (buffer.position() == 0 && buffer.hasRemaining()) { // avoids copying a long message
             buffer.position(buffer.limit()).limit(buffer.capacity());
         } else {
             buffer.compact();
@@ -89,7 +116,7 @@
         }
     }
 
-    /** Records that {@code bytes} bytes were read at {@code nowNs}, in ns of the loop's clock. */
+    /** Records that {@code bytes} bytes were read that arrived at {@code nowNs}, in ns of the loop's clock. */
     void recordArrival(int bytes, long nowNs) {
         arrivals.record(bytes, nowNs);
     }
--- a/src/main/java/beechseam/platform/EgressConnection.java
+++ b/src/main/java/beechseam/platform/EgressConnection.java
@@ -3,6 +3,7 @@
 import beechseam.core.Timer;
 import beechseam.http.HttpException;
 import beechseam.http.HttpParser;
+import beechseam.net.BufferShare;
 import beechseam.net.Connection;
 import java.io.IOException;
 import java.net.BindException;
@@ -36,6 +37,11 @@
         this.target = target;
     }
 
+    @Override
+    protected BufferShare bufferShare() {
+        return BufferShare.RESPONSES;
+    }
+
     /** Connects, and begins the exchange when the connection is established. */
     void open(Exchange first) {
         current = first;
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -9,6 +9,7 @@
 import beechseam.http.HttpParser;
 import beechseam.http.ServerConnection;
 import beechseam.http.Slice;
+import beechseam.net.BufferShare;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.Locale;
@@ -170,8 +171,12 @@
     /** Sheds a job that was not submitted to the engine, so that no attempt has been sent. */
     private void shedBeforeAdmission(int jobClass) {
         node.counters.of(jobClass).crowdedOut++;
+        respondShed(maxRetryAfterNs());
+    }
+
+    private long maxRetryAfterNs() {
         DispatchLimits limits = node.options.settings.limits();
-        respondShed(limits.retryAfter() ? limits.maxRetryAfterNs() : 0);
+        return limits.retryAfter() ? limits.maxRetryAfterNs() : 0;
     }
 
     private void submit(HttpParser message, int jobClass, long timeLeftNs) {
@@ -261,6 +266,19 @@
         node.counters.badInput++;
     }
 
+    /** The class of the request is not known: its head may be incomplete. */
+    @Override
+    protected void shedForMemory() {
+        node.counters.crowdedOutUnclassified++;
+        respondShed(maxRetryAfterNs());
+    }
+
+    /** Callbacks carry the results of jobs, so their memory is that of responses. */
+    @Override
+    protected BufferShare bufferShare() {
+        return carriesCallbacks ? BufferShare.RESPONSES : BufferShare.REQUESTS;
+    }
+
     @Override
     protected boolean stopping() {
         return carriesCallbacks ? node.isDrainingCallbacks() : node.isDraining();
--- a/src/main/java/beechseam/platform/IngressTable.java
+++ b/src/main/java/beechseam/platform/IngressTable.java
@@ -81,6 +81,9 @@
         IngressConnection longestIdle = null;
         IngressConnection unused = null;
         for (IngressConnection each : connections) {
+            if (each.awaitsReadMemory()) {
+                continue; // its request may have been sent in full
+            }
             if (each.ending() && each.unwritten() == 0) {
                 return each;
             }
--- a/src/test/java/beechseam/Loopback.java
+++ b/src/test/java/beechseam/Loopback.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beechseam.net.Buffers;
 import beechseam.net.Connection;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
@@ -22,8 +23,13 @@
     private final List<AutoCloseable> resources = new ArrayList<>();
 
     public Loopback() {
+        this(new Buffers());
+    }
+
+    /** Creates a fixture whose connections share these read buffers. */
+    public Loopback(Buffers buffers) {
         try {
-            loop = new EventLoop();
+            loop = new EventLoop(buffers);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/beechseam/core/CountersTest.java
+++ b/src/test/java/beechseam/core/CountersTest.java
@@ -14,7 +14,8 @@
         counters.of(1).recordServed();
         counters.of(1).recordShed();
         counters.of(2).recordFailed();
-        counters.of(2).crowdedOut = 14;
+        counters.of(2).crowdedOut = 9;
+        counters.crowdedOutUnclassified = 5;
         counters.of(0).written = 4;
         counters.clientsDisconnected = 8;
         counters.recordHealthCheck();
@@ -55,7 +56,7 @@
                 sum.toString());
         assertEquals(2, sum.of(1).answered());
         assertEquals(2, sum.of(1).deferred());
-        assertEquals(28, sum.of(2).deferred());
+        assertEquals(18, sum.of(2).deferred());
         assertEquals(2, sum.of(2).errored());
     }
 }
--- a/src/test/java/beechseam/net/ConnectionTest.java
+++ b/src/test/java/beechseam/net/ConnectionTest.java
@@ -5,8 +5,6 @@
 import beechseam.Loopback;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -112,43 +110,69 @@
         }
     }
 
-    /**
-     * Guards against a heap filled by hundreds of peers that each send half a message: the connection that would exceed
-     * the shared limit is closed.
-     */
+    /** A connection in the share of requests that leaves its input unconsumed until told to consume it. */
+    private static final class ReluctantConnection extends CountingConnection {
+        private boolean consumes;
+        private int largestInput;
+
+        ReluctantConnection(EventLoop loop, int[] callCounts) throws IOException {
+            super(loop, 64 * 1024, callCounts);
+        }
+
+        @Override
+        protected BufferShare bufferShare() {
+            return BufferShare.REQUESTS;
+        }
+
+        @Override
+        protected void received(ByteBuffer bytes) {
+            largestInput = Math.max(largestInput, bytes.remaining());
+            bytes.position(consumes ? bytes.limit() : bytes.position());
+        }
+
+        void consume() {
+            consumes = true;
+            processBufferedInput();
+        }
+    }
+
+    /** Guards against a heap filled by hundreds of peers that each send half a message. */
     @Test
-    void largeReadBuffersShareOneLimit() throws IOException {
-        Buffers buffers = new Buffers(5 * 16 * 1024);
-        List<ByteBuffer> borrowed = new ArrayList<>();
-        for (ByteBuffer larger; (larger = buffers.grow(buffers.acquire().put((byte) 7), 16 * 1024)) != null; ) {
-            assertEquals(1, larger.position(), "the larger buffer has the content of the smaller one");
-            borrowed.add(larger);
+    void largeReadBuffersShareOneLimit() {
+        int size = 2 * Buffers.SIZE;
+        BufferQuota quota = new Buffers(4L * 5 * size).quota(BufferShare.REQUESTS);
+        for (int i = 0; i < 5; i++) {
+            assertTrue(quota.reserve(null, size));
         }
-        assertEquals(5, borrowed.size());
-        buffers.release(borrowed.remove(0));
-        assertNotNull(buffers.grow(buffers.acquire(), 16 * 1024), "released memory is available again");
-        EventLoop loop = new EventLoop(new Buffers(0));
-        try (ServerSocketChannel server = ServerSocketChannel.open().bind(Loopback.anyPort())) {
-            boolean[] lost = {false};
-            Connection client = new Connection(loop, null, 64 * 1024) {
-                @Override
-                protected void received(ByteBuffer bytes) {
-                    assertTrue(bytes.remaining() <= Buffers.SIZE); // consumes nothing
-                }
+        assertFalse(quota.reserve(null, 1));
+        quota.release(null, size, false);
+        assertTrue(quota.reserve(null, size), "released memory is available again");
+        assertFalse(quota.reserve(null, 1));
+    }
 
-                @Override
-                protected void lost(IOException cause) {
-                    lost[0] = true;
-                }
-            };
-            client.connect(server.getLocalAddress());
-            try (SocketChannel acceptedChannel = server.accept()) {
-                acceptedChannel.write(ByteBuffer.allocate(Buffers.SIZE + 1));
-                for (int i = 0; i < 2000 && !lost[0]; i++) {
-                    loop.turn(10_000_000L);
-                }
-            }
-            assertTrue(lost[0]);
+    /** Guards against the close of the connection that needs memory next: its peer has done nothing wrong. */
+    @Test
+    void connectionWaitsForReadMemoryAndLosesNoInput() throws IOException {
+        int size = 2 * Buffers.SIZE;
+        try (Loopback net = new Loopback(new Buffers(4L * size))) {
+            List<Loopback.Peer> accepted = new ArrayList<>();
+            int[] callCounts = {0, 0};
+            ReluctantConnection holder = new ReluctantConnection(net.loop, callCounts);
+            ReluctantConnection next = new ReluctantConnection(net.loop, callCounts);
+            holder.connect(net.listen(accepted));
+            net.until("the holder", () -> accepted.size() == 1);
+            accepted.get(0).send("x".repeat(Buffers.SIZE + 1));
+            net.until("the holder's input", () -> holder.largestInput == Buffers.SIZE + 1);
+            next.connect(net.listen(accepted));
+            net.until("the next connection", () -> accepted.size() == 2);
+            accepted.get(1).send("x".repeat(size));
+            net.until("the wait", next::awaitsReadMemory);
+            net.settle(30);
+            assertEquals(Buffers.SIZE, next.largestInput);
+            holder.consume();
+            net.until("the rest of the input", () -> next.largestInput == size);
+            assertFalse(next.awaitsReadMemory());
+            assertArrayEquals(new int[] {0, 0}, callCounts, "no connection was closed");
         }
     }
 
--- a/src/test/java/beechseam/net/InboundBufferTest.java
+++ b/src/test/java/beechseam/net/InboundBufferTest.java
@@ -11,7 +11,7 @@
 class InboundBufferTest {
     private static int read(InboundBuffer inbound, int bytes, long nowNs) throws IOException {
         inbound.acquire();
-        inbound.ensureCapacity();
+        assertTrue(inbound.ensureCapacity(BufferShare.UNLIMITED));
         int count = inbound.readFrom(Channels.newChannel(new ByteArrayInputStream(new byte[bytes])));
         inbound.recordArrival(count, nowNs);
         return count;
@@ -19,7 +19,7 @@
 
     @Test
     void unconsumedBytesStayWithTheirArrivalTimes() throws IOException {
-        InboundBuffer inbound = new InboundBuffer(new Buffers(), 64);
+        InboundBuffer inbound = new InboundBuffer(new Buffers(), 64, null);
         assertEquals(5, read(inbound, 5, 100));
         assertEquals(3, read(inbound, 3, 200));
         assertEquals(200, inbound.arrivedAt(2, 0));
@@ -38,7 +38,7 @@
 
     @Test
     void fullBufferDoublesToItsLimit() throws IOException {
-        InboundBuffer inbound = new InboundBuffer(new Buffers(), 3 * Buffers.SIZE);
+        InboundBuffer inbound = new InboundBuffer(new Buffers(), 3 * Buffers.SIZE, null);
         assertEquals(Buffers.SIZE, read(inbound, 4 * Buffers.SIZE, 1));
         assertFalse(inbound.isFull());
         assertEquals(Buffers.SIZE, read(inbound, 4 * Buffers.SIZE, 2));
@@ -47,9 +47,29 @@
     }
 
     @Test
-    void exhaustedPoolFailsTheRead() throws IOException {
-        InboundBuffer inbound = new InboundBuffer(new Buffers(0), 3 * Buffers.SIZE);
+    void exhaustedShareRefusesToGrowAndKeepsTheBytes() throws IOException {
+        InboundBuffer inbound = new InboundBuffer(new Buffers(0), 3 * Buffers.SIZE, null);
         read(inbound, Buffers.SIZE, 1);
-        assertThrows(IOException.class, inbound::ensureCapacity);
+        assertFalse(inbound.ensureCapacity(BufferShare.REQUESTS));
+        assertEquals(Buffers.SIZE, inbound.flip().remaining());
+        inbound.compact();
+        assertTrue(inbound.ensureCapacity(BufferShare.UNLIMITED), "another share has memory left");
+    }
+
+    @Test
+    void fewUnconsumedBytesFreeTheLargeBuffer() throws IOException {
+        Buffers buffers = new Buffers(8 * Buffers.SIZE); // the share has two standard sizes, enough for one enlargement
+        InboundBuffer first = new InboundBuffer(buffers, 2 * Buffers.SIZE, null);
+        read(first, Buffers.SIZE, 1);
+        assertTrue(first.ensureCapacity(BufferShare.REQUESTS));
+        read(first, Buffers.SIZE, 2);
+        InboundBuffer second = new InboundBuffer(buffers, 2 * Buffers.SIZE, null);
+        read(second, Buffers.SIZE, 3);
+        assertFalse(second.ensureCapacity(BufferShare.REQUESTS));
+        first.flip().position(2 * Buffers.SIZE - 5);
+        first.compact();
+        assertTrue(second.ensureCapacity(BufferShare.REQUESTS));
+        assertEquals(5, first.flip().remaining());
+        assertEquals(2, first.arrivedAt(0, 0));
     }
 }
--- a/src/test/java/beechseam/platform/NodeHarness.java
+++ b/src/test/java/beechseam/platform/NodeHarness.java
@@ -38,12 +38,17 @@
 
     static final String EXECUTOR_ID = "s-0badcafe";
 
-    final Loopback net = new Loopback();
+    final Loopback net = newLoopback();
     final List<Peer> discovery = new ArrayList<>();
     final List<Peer> executor = new ArrayList<>();
     final InetSocketAddress executorAt = net.listen(executor);
     final InetSocketAddress discoveryAt = net.listen(discovery);
 
+    /** Creates the fixture of the sockets; called once, before the fields of subclasses are set. */
+    Loopback newLoopback() {
+        return new Loopback();
+    }
+
     /** The address that clients and executors connect to. */
     abstract InetSocketAddress address() throws IOException;
 
