Read a long request whole before closing the idle connection it came on

Callers saw: a request over 8 KiB that arrived as the node closed its idle connection (planned stop, idle time-out, eviction) got no answer.

Cause: ServerConnection.closeUnlessAsked read once; one read ends at a full buffer of 8 KiB, so the request was incomplete, and the close reset the connection with the rest unread in the kernel.

Change: it reads until nothing more has come, and spares a connection on which a request has begun. This works since a request that is whole in the kernel is then always parsed before the decision.

RaceConditionTest: 4 of 4 new cases failed without the change (9,000, 20,000 and 60,000 bytes, and one that has begun), all pass with it; RaceCondition, IngressConnection, RequestMemory and NodeOperations tests pass.

--- a/src/main/java/beechseam/http/ServerConnection.java
+++ b/src/main/java/beechseam/http/ServerConnection.java
@@ -157,12 +157,18 @@
         return !exchanging && !partial && unwritten() == 0;
     }
 
-    /** Closes the connection, unless a request is still unread in the kernel; such a request is served. */
+    /**
+     * Closes the connection, unless a request is still unread in the kernel; such a request is served. It may have
+     * arrived in part only, or wait for read memory.
+     */
     public final void closeUnlessAsked() {
-        if (!exchanging) {
-            catchUp();
+        boolean wasPartial = partial;
+        boolean mayHaveMore = !exchanging;
+        while (mayHaveMore) { // a long request takes several reads
+            mayHaveMore = catchUp() && !exchanging;
         }
-        if (!exchanging && unwritten() == 0 && !awaitsReadMemory()) {
+        boolean requestBegun = partial && !wasPartial || awaitsReadMemory();
+        if (!exchanging && unwritten() == 0 && !requestBegun) {
             close();
         }
     }
--- a/src/test/java/beechseam/platform/RaceConditionTest.java
+++ b/src/test/java/beechseam/platform/RaceConditionTest.java
@@ -314,4 +314,31 @@
         assertTrue(response.startsWith("HTTP/1.1 200") && response.contains("Connection: close"), response);
         net.until("the end of the shutdown", () -> stopped);
     }
+
+    /** Guards against the loss of a request over 8 KiB, which takes several reads, as its idle connection is closed. */
+    @ParameterizedTest
+    @ValueSource(ints = {9_000, 20_000, 60_000})
+    void longRequestOnIdleConnectionBeingClosedIsServed(int bodyBytes) {
+        startListed(SETTINGS, false);
+        Peer idle = connectedClient();
+        idle.send(job("c1", "once", bodyBytes));
+        node.ingress().closeIdle(net.loop.now() + 1_000_000_000L, false); // the request is in the kernel, unread
+        attempt(0, "c1").send(answer("202 Accepted", ""));
+        done("c1", "through");
+        assertTrue(awaitResponse(idle, "through").startsWith("HTTP/1.1 200"));
+    }
+
+    /** Guards against the close of a connection on which a request has begun to arrive; its rest may be under way. */
+    @Test
+    void requestThatBeginsOnIdleConnectionBeingClosedIsServed() {
+        startListed(SETTINGS, false);
+        Peer idle = connectedClient();
+        String whole = job("c1", "once", 20_000);
+        idle.send(whole.substring(0, 12_000));
+        node.ingress().closeIdle(net.loop.now() + 1_000_000_000L, false);
+        idle.send(whole.substring(12_000));
+        attempt(0, "c1").send(answer("202 Accepted", ""));
+        done("c1", "through");
+        assertTrue(awaitResponse(idle, "through").startsWith("HTTP/1.1 200"));
+    }
 }
--- a/src/test/java/beechseam/platform/RaceHarness.java
+++ b/src/test/java/beechseam/platform/RaceHarness.java
@@ -45,8 +45,14 @@
     }
 
     static String job(String id, String jobClass) {
+        return job(id, jobClass, 4);
+    }
+
+    /** Returns a job with a body of at least four bytes. */
+    static String job(String id, String jobClass, int bodyBytes) {
+        String body = bodyBytes == 4 ? "body" : "b".repeat(bodyBytes - 8) + "\r\n\r\nbody";
         return "POST /" + jobClass + "/x HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: " + jobClass
-                + "\r\nX-Time-Left: 30000m\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody";
+                + "\r\nX-Time-Left: 30000m\r\nIdempotency-Key: k1\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + body;
     }
 
     /** Returns a client whose connection the node has accepted. */
