Arm the expiry timer of a Gearman function for the earliest deadline

Cause: GearmanFunction.enqueue armed the timer only if it was not armed. The background job had armed it for its own deadline, an hour later, and the earlier deadline of the jobs behind it did not move it.

Change: scheduleExpiry takes the earlier of both times, in enqueue and in expire, which set the timer without a look at jobs enqueued while it ran. This works since the timer is then never later than the deadline of any queued job.

Gearman and conformance tests pass.

--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -117,8 +117,13 @@
         job.enqueuedAtNs = server.loop.now();
         queues.add(job.mode.ordinal(), job.submitter, job);
         server.setBacklogged(this, true);
-        if (!expiryTimer.armed()) {
-            server.loop.timers.set(expiryTimer, submitByNs(job));
+        scheduleExpiry(submitByNs(job));
+    }
+
+    /** Arms the expiry timer for a time, unless it fires before that. */
+    private void scheduleExpiry(long atNs) {
+        if (!expiryTimer.armed() || atNs < expiryTimer.due()) {
+            server.loop.timers.set(expiryTimer, atNs);
         }
     }
 
@@ -221,8 +226,8 @@
             }
         }
         updateBacklog();
-        if (next != Long.MAX_VALUE) {
-            server.loop.timers.set(expiryTimer, Math.max(next, now + BATCH_GAP_NS));
+        if (next != Long.MAX_VALUE) { // a job that was enqueued meanwhile may have armed the timer for an earlier time
+            scheduleExpiry(Math.max(next, now + BATCH_GAP_NS));
         }
     }
 
