Limit the output that all clients of the job server leave unread together

Cause: a worker is stopped when one client of its job has over 1 MB unread, and a peer's own requests at 256 KB; what all leave unread together was in no budget.

Change: OutputMemory counts the queued output of all peers; while it exceeds the share of max_memory_mb that is for results, OutputLimit lets nothing more be read that is for a peer with unread output, be it pieces, status, whole results or answers to its own requests. This works since each connection then adds one packet at most. Peers that read go on. It is logged when the share is used up.

--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -26,7 +26,7 @@
     static final int MAX_IN_PLACE_BYTES = Buffers.SIZE / 2;
     /** Above this many unwritten bytes, the peer's own requests are not read. */
     private static final int MAX_UNREAD_BYTES = 256 * 1024;
-    /** Above this many unwritten bytes, the worker that writes them is not read from. */
+    /** Above this many unwritten bytes, the worker that writes further data of a job is not read from. */
     static final int THROTTLE_BYTES = 1024 * 1024;
     /** After a malformed frame, a peer may send this much more before its connection is reset. */
     private static final long MAX_DISCARDED_BYTES = 128L * 1024 * 1024;
@@ -52,7 +52,7 @@
     private boolean hasReceived;
 
     GearmanConnection(GearmanServer server, SocketChannel channel) throws IOException {
-        super(server.loop, channel, Buffers.SIZE);
+        super(server.loop, channel, Buffers.SIZE, server.output);
         this.server = server;
         decoder = new PacketDecoder(this, Packet.REQ, server.config.bounds().packet(), MAX_IN_PLACE_BYTES);
         session = new ClientSession(server, this);
@@ -146,7 +146,7 @@
                             + server.budget.maxWorkloadBytes() + ", and this one has " + size);
             return PacketDecoder.Verdict.SKIP;
         }
-        if (!submission && !server.budget.reserveResult(size, server.unreadBytes())) {
+        if (!submission && !server.budget.reserveResult(size, server.output.bytes())) {
             awaitsMemory = true;
             server.awaitMemory(this);
             updateReadingPaused();
@@ -178,7 +178,7 @@
         }
         handle(kind, args);
         releaseReservation();
-        if (unwritten() > MAX_UNREAD_BYTES) {
+        if (unwritten() > server.outputLimit.forPeer(MAX_UNREAD_BYTES)) {
             updateReadingPaused();
         }
     }
@@ -252,9 +252,9 @@
         write(Packet.ERROR.response(code, message));
     }
 
-    /** Pauses reading from a worker that writes to this client if the client is far behind in reading. */
-    void throttle(GearmanConnection writer) {
-        if (unwritten() > THROTTLE_BYTES && writer != this && !closed()) {
+    /** Pauses reading from a worker that writes to this client if the client has left more unread than this. */
+    void throttle(GearmanConnection writer, long maxUnreadBytes) {
+        if (unwritten() > maxUnreadBytes && writer != this && !closed()) {
             writer.throttled = true;
             throttledWriters.add(writer);
             writer.updateReadingPaused();
@@ -269,7 +269,7 @@
 
     /** Pauses or resumes reading according to all reasons to pause. */
     private void updateReadingPaused() {
-        pauseReading(throttled || awaitsMemory || unwritten() > MAX_UNREAD_BYTES);
+        pauseReading(throttled || awaitsMemory || unwritten() > server.outputLimit.forPeer(MAX_UNREAD_BYTES));
     }
 
     @Override
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -9,6 +9,7 @@
 import beechseam.gearman.queue.WorkerGroups.Location;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
+import beechseam.net.OutputMemory;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -38,6 +39,8 @@
     final long seed;
     final Jobs jobs;
     final ByteBudget budget;
+    final OutputMemory output = new OutputMemory();
+    final OutputLimit outputLimit;
     final Admission admission;
     final Admin admin = new Admin(this);
     long badInput;
@@ -73,6 +76,7 @@
         this.config = config;
         this.seed = seed;
         budget = new ByteBudget(config.bounds().memory());
+        outputLimit = new OutputLimit(budget, output);
         jobs = new Jobs(config.name(), budget);
         admission = new Admission(
                 new Admission.Limits(config.bounds().jobs(), config.bounds().jobsPerClient()));
@@ -147,15 +151,6 @@
         return connections;
     }
 
-    /** Bytes queued for all peers and not yet written. O(connections), so it is called for long packets only. */
-    long unreadBytes() {
-        long sum = 0;
-        for (GearmanConnection each : connections) {
-            sum += each.unwritten();
-        }
-        return sum;
-    }
-
     void awaitMemory(GearmanConnection connection) {
         awaitingMemory.add(connection);
     }
@@ -168,15 +163,6 @@
         }
     }
 
-    /** Stops reading from a worker that sent data of a job while a client of the job is far behind in reading. */
-    void throttleForClients(GearmanConnection writer, GearmanJob job) {
-        if (job.clientCount() > 0) {
-            for (GearmanConnection each : job.clients()) {
-                each.throttle(writer);
-            }
-        }
-    }
-
     /** Logs that a connection is closed for malformed input. Its jobs are updated when it is released. */
     void connectionRejected(GearmanConnection connection) {
         LOG.log(Level.DEBUG, "connection closed reason=bad_input peer=" + connection.peer());
@@ -195,6 +181,7 @@
         long now = loop.now();
         List.copyOf(connections).forEach(each -> each.sweep(now, config.turns().stallNs()));
         retryAwaitingMemory();
+        outputLimit.reportChanges();
         for (GearmanFunction function : new ArrayList<>(functions.values())) {
             function.suspendIfIdle(IDLE_TIMEOUT_NS);
             if (!function.awake() && function.unused() && !function.pinned) {
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -335,6 +335,7 @@
         }
         GearmanJob job = GearmanFunction.job(heldJob.attempt);
         boolean current = !heldJob.attempt.hasEnded() && !heldJob.attempt.request.finished();
+        List<GearmanConnection> receivers = job.clients(); // the end of the job forgets them
         switch (kind) {
             case WORK_COMPLETE -> {
                 if (current && job.result == null) {
@@ -355,10 +356,11 @@
                 heldJob.exceptionReported |= kind == Packet.WORK_EXCEPTION;
                 if (current && job.forwardsFor(heldJob.attempt)) {
                     job.forward(kind, args.retained(1), args.text(0));
-                    server.throttleForClients(connection, job);
                 }
             }
         }
+        boolean ends = kind == Packet.WORK_COMPLETE || kind == Packet.WORK_FAIL;
+        server.outputLimit.throttle(connection, receivers, ends ? Long.MAX_VALUE : GearmanConnection.THROTTLE_BYTES);
     }
 
     /** Ends a held job; the worker becomes available with its next grab or PRE_SLEEP. */
--- a/src/main/java/beechseam/gearman/queue/ByteBudget.java
+++ b/src/main/java/beechseam/gearman/queue/ByteBudget.java
@@ -46,6 +46,15 @@
         return true;
     }
 
+    /**
+     * Whether packets to clients take their whole share of the budget.
+     *
+     * @param unreadBytes bytes that are buffered for clients that have not read them
+     */
+    public boolean resultsExhausted(long unreadBytes) {
+        return resultBytes + unreadBytes > maxResultBytes;
+    }
+
     /** Releases the bytes of a packet that has been forwarded to clients. */
     public void releaseResult(long bytes) {
         resultBytes -= bytes;
--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -1,7 +1,6 @@
 package beechseam.net;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -19,7 +18,7 @@
     protected final EventLoop loop;
 
     private final SocketChannel channel;
-    private final OutboundQueue outbound = new OutboundQueue();
+    private final OutboundQueue outbound;
     private final ReadMemory readMemory;
     private final InboundBuffer inbound;
     /** Null until an outgoing connection is registered. */
@@ -41,7 +40,14 @@
      * @param maxReadBytes the largest number of unconsumed bytes that the connection buffers
      */
     protected Connection(EventLoop loop, SocketChannel channel, int maxReadBytes) throws IOException {
+        this(loop, channel, maxReadBytes, new OutputMemory());
+    }
+
+    /** Creates a connection as above whose queued output is counted in {@code outputMemory}. */
+    protected Connection(EventLoop loop, SocketChannel channel, int maxReadBytes, OutputMemory outputMemory)
+            throws IOException {
         this.loop = loop;
+        this.outbound = new OutboundQueue(outputMemory);
         this.readMemory = new ReadMemory(this, maxReadBytes);
         this.inbound = readMemory.inbound;
         this.channel = channel != null ? channel : SocketChannel.open();
@@ -202,18 +208,12 @@
 
     /** Returns the peer's IP address in text form, or "?" if it has none. */
     public final String peer() {
-        try {
-            return channel.getRemoteAddress() instanceof InetSocketAddress address
-                    ? address.getAddress().getHostAddress()
-                    : "?";
-        } catch (IOException e) {
-            return "?";
-        }
+        return PeerAddress.text(channel);
     }
 
     /**
      * Reads once the input that the peer has already sent. An owner calls it before it closes an idle connection, since
-     * the close would lose a request that is still unread in the kernel; on a slow node it may wait there for long.
+     * the close would lose a request that is still unread in the kernel.
      *
      * @return whether bytes, or the end of the peer's output, had arrived
      */
--- a/src/main/java/beechseam/net/OutboundQueue.java
+++ b/src/main/java/beechseam/net/OutboundQueue.java
@@ -16,14 +16,24 @@
     /** Buffers of up to this many bytes are merged before they are written. */
     private static final int MAX_MERGED_BUFFER_BYTES = 2048;
 
+    /** Memory of a buffer besides its bytes; a short message takes more of it than of bytes. */
+    private static final int BUFFER_OVERHEAD_BYTES = 96;
+
+    private final OutputMemory memory;
     private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
     private long pendingBytes;
 
+    /** Creates an empty queue, whose memory is counted in {@code memory}. */
+    OutboundQueue(OutputMemory memory) {
+        this.memory = memory;
+    }
+
     /** Appends a buffer; it must not be changed until it is written. An empty one is ignored. */
     void add(ByteBuffer buffer) {
         if (buffer.hasRemaining()) {
             buffers.add(buffer);
             pendingBytes += buffer.remaining();
+            memory.change(buffer.remaining() + BUFFER_OVERHEAD_BYTES);
         }
     }
 
@@ -38,6 +48,9 @@
 
     /** Removes the buffers. {@link #pendingBytes} is kept, as the number of bytes that were never sent. */
     void clear() {
+        for (ByteBuffer buffer : buffers) {
+            memory.change(-buffer.remaining() - BUFFER_OVERHEAD_BYTES);
+        }
         buffers.clear();
     }
 
@@ -55,8 +68,10 @@
         boolean accepted = !next.hasRemaining();
         next.limit(end);
         pendingBytes -= written;
+        memory.change(-written);
         if (accepted && !next.hasRemaining()) {
             buffers.removeFirst();
+            memory.change(-BUFFER_OVERHEAD_BYTES);
         }
         return accepted;
     }
@@ -80,6 +95,7 @@
                 merged.put(buffers.pollFirst());
             }
             buffers.addFirst(merged.flip());
+            memory.change(-(count - 1L) * BUFFER_OVERHEAD_BYTES);
         }
     }
 }
--- a/src/test/java/beechseam/gearman/GearmanFaultsTest.java
+++ b/src/test/java/beechseam/gearman/GearmanFaultsTest.java
@@ -189,8 +189,8 @@
         }
         otherClient.expect("WORK_COMPLETE " + otherHandle);
         assertTrue(
-                harness.server.unreadBytes() <= 2 * (1024 + 64) * 1024,
-                "unread bytes: " + harness.server.unreadBytes());
+                harness.server.output.bytes() <= 2 * (1024 + 64) * 1024,
+                "unread bytes: " + harness.server.output.bytes());
         harness.disconnect(nonReadingClient);
         harness.net.until("the jobs of the disconnected client to be abandoned", () -> harness.server.jobs.size() == 0);
     }
@@ -503,7 +503,7 @@
         harness.net.until(
                 "reading from the worker to be paused",
                 () -> harness.server.connections().stream().anyMatch(c -> c.worker() != null && c.readingPaused()));
-        assertTrue(harness.server.unreadBytes() < 8192 * 1024, "unread bytes: " + harness.server.unreadBytes());
+        assertTrue(harness.server.output.bytes() < 8192 * 1024, "unread bytes: " + harness.server.output.bytes());
         TestPeer other = harness.peer().send(Packet.ECHO_REQ, "on").expect("ECHO_RES on");
         slow.peer.pauseReading(false);
         worker.send(Packet.WORK_COMPLETE, handle, "end");
--- a/src/test/java/beechseam/net/OutboundQueueTest.java
+++ b/src/test/java/beechseam/net/OutboundQueueTest.java
@@ -39,7 +39,7 @@
 
     @Test
     void smallBuffersAreMergedAndLongOnesWrittenInSlices() throws IOException {
-        OutboundQueue queue = new OutboundQueue();
+        OutboundQueue queue = new OutboundQueue(new OutputMemory());
         queue.add(ByteBuffer.allocate(10));
         queue.add(ByteBuffer.allocate(0));
         queue.add(ByteBuffer.allocate(20));
@@ -54,7 +54,7 @@
 
     @Test
     void partialWriteKeepsTheRestAndClearKeepsTheCount() throws IOException {
-        OutboundQueue queue = new OutboundQueue();
+        OutboundQueue queue = new OutboundQueue(new OutputMemory());
         queue.add(ByteBuffer.allocate(100));
         assertFalse(queue.writeNext(new LimitedChannel(40)));
         assertEquals(60, queue.pendingBytes());
@@ -62,4 +62,22 @@
         assertTrue(queue.isEmpty());
         assertEquals(60, queue.pendingBytes());
     }
+
+    @Test
+    void memoryIsCountedWithBuffersAndReturnedInFull() throws IOException {
+        OutputMemory memory = new OutputMemory();
+        OutboundQueue queue = new OutboundQueue(memory);
+        for (int i = 0; i < 100; i++) {
+            queue.add(ByteBuffer.allocate(10));
+        }
+        assertTrue(memory.bytes() > 100 * 60, "the objects of short messages take more than their bytes");
+        queue.add(ByteBuffer.allocate(OutboundQueue.MAX_WRITE_BYTES));
+        assertFalse(queue.writeNext(new LimitedChannel(500)));
+        assertTrue(memory.bytes() >= queue.pendingBytes());
+        queue.clear();
+        assertEquals(0, memory.bytes());
+        queue.add(ByteBuffer.allocate(3));
+        assertTrue(queue.writeNext(new LimitedChannel(3)));
+        assertEquals(0, memory.bytes());
+    }
 }
