Record in the shutdown soak how long the program's loop ran and waited

Change: LoopSchedule samples the scheduler's times of the thread of the program's loop; a violation says how long that thread ran and waited for a processor since the request was sent, and how long the test itself stood still.

--- a/src/test/java/beechseam/platform/ShutdownSoakTest.java
+++ b/src/test/java/beechseam/platform/ShutdownSoakTest.java
@@ -50,6 +50,8 @@
     private final class JobState {
         final String jobClass;
         final long sentAt = elapsedNs();
+        final long sentAtNs = System.nanoTime();
+        final long stalledBeforeNs = stalledNs;
         boolean forwarded;
         /** Attempts that have neither ended nor been cancelled. */
         int inFlight;
@@ -83,6 +85,7 @@
     private long killAt;
     private long lastTurnAt;
     private long stalledNs;
+    private LoopSchedule schedule;
 
     static IntStream seeds() {
         String[] range = System.getProperty("soak.seeds", "1..12").split("\\.\\.");
@@ -99,10 +102,12 @@
             discovery.clear();
             configure(dir, discoveryAt, settings);
             Process program = startProgram(dir, "true", Map.of());
+            schedule = new LoopSchedule(program.pid());
             try {
                 serveUntilKilled(program, manyClients);
             } finally {
                 program.destroyForcibly().waitFor();
+                schedule.close();
             }
         }
         System.out.println("soak seed " + seed + ": " + requests.size() + " requests, " + answered + " answered, "
@@ -245,7 +250,8 @@
         Matcher timeLeft = TIME_LEFT.matcher(headers);
         long timeLeftMs = timeLeft.find() ? Long.parseLong(timeLeft.group(1)) : Long.MAX_VALUE;
         if (timeLeftMs > DEADLINE_MS - job.ageMs() + TIME_LEFT_SLACK_MS) {
-            violations.add(id + " was sent with " + timeLeftMs + " ms left, " + job.ageMs() + " ms old");
+            violations.add(
+                    id + " was sent with " + timeLeftMs + " ms left, " + job.ageMs() + " ms old; " + standstill(job));
         }
         if (job.inFlight > 0 && !peer.disconnected) {
             violations.add(id + " has a second attempt");
@@ -271,6 +277,13 @@
         }
     }
 
+    /** Tells for how long each side stood still since a request was sent. */
+    private String standstill(JobState job) {
+        return "since it was sent the program's loop ran for " + schedule.ranMsSince(job.sentAtNs)
+                + " ms and waited for a processor for " + schedule.waitedMsSince(job.sentAtNs)
+                + " ms, the test stalled for " + (stalledNs - job.stalledBeforeNs) / MS + " ms";
+    }
+
     private void event(String id, JobState job, String state) {
         job.inFlight = 0;
         String members = "\"from\":\"s-0badcafe\",\"state\":\"" + state + "\",\"result\":\"ok\"";
