Let a second stop of the job server change nothing

Cause: Shutdown.stop was the start of the shutdown and its periodic step, so a second call began a second chain of steps and reported the end twice; Serve took the two for both front ends.

Change: the steps are a method of their own, and stop returns if it has begun.

A process with both front ends was not run.

--- a/src/main/java/beechseam/gearman/Shutdown.java
+++ b/src/main/java/beechseam/gearman/Shutdown.java
@@ -22,6 +22,8 @@
     private long deadlineNs;
     private boolean closing;
     private Runnable onRequest = () -> {};
+    /** Run once when the server has stopped; null until the shutdown begins. */
+    private Runnable onStopped;
 
     Shutdown(GearmanServer server) {
         this.server = server;
@@ -48,15 +50,21 @@
         server.loop.post(onRequest);
     }
 
-    /** Starts or continues the shutdown; {@code done} is called when all connections are closed. */
+    /** Starts the shutdown; {@code done} is called once all connections are closed. A second call has no effect. */
     void stop(Runnable done) {
-        if (!stopping) {
-            stopping = true;
-            deadlineNs = deadlineNs > 0
-                    ? deadlineNs
-                    : server.loop.now() + server.config.turns().stopWithinNs();
-            dropJobs(false);
+        if (stopping) {
+            return;
         }
+        stopping = true;
+        onStopped = done;
+        deadlineNs = deadlineNs > 0
+                ? deadlineNs
+                : server.loop.now() + server.config.turns().stopWithinNs();
+        dropJobs(false);
+        advance();
+    }
+
+    private void advance() {
         long now = server.loop.now();
         if (now >= deadlineNs && server.jobs.size() > 0) {
             dropJobs(true);
@@ -68,14 +76,14 @@
         }
         if (closing && (server.connections().isEmpty() || now >= deadlineNs)) {
             server.closeNow();
-            done.run();
+            onStopped.run();
             return;
         }
         server.loop.timers.set(
                 new Timer() {
                     @Override
                     protected void fire() {
-                        stop(done);
+                        advance();
                     }
                 },
                 now + CHECK_INTERVAL_NS);
