Do not date a later request by a wait for read memory that has ended

Cause: when the last read after a wait filled the buffer to its end, ReadMemory still took the kernel's input for held up, and dated the next request on that connection by the old wait. Found on reading again.

Change: the mark is cleared once all input is consumed.

--- a/src/main/java/beechseam/net/Connection.java
+++ b/src/main/java/beechseam/net/Connection.java
@@ -344,7 +344,7 @@
         if (ending()) {
             inbound.release();
         } else if (!closed()) {
-            inbound.compact();
+            readMemory.compact();
         }
     }
 
--- a/src/main/java/beechseam/net/ReadMemory.java
+++ b/src/main/java/beechseam/net/ReadMemory.java
@@ -71,6 +71,12 @@
         backlogged &= !inbound.hasRemaining();
     }
 
+    /** Frees what the owner has consumed. Input that follows a whole message counts as arrived when it is read. */
+    void compact() {
+        inbound.compact();
+        backlogged &= !inbound.isEmpty();
+    }
+
     boolean waits() {
         return awaited != null;
     }
--- a/src/test/java/beechseam/platform/RequestMemoryTest.java
+++ b/src/test/java/beechseam/platform/RequestMemoryTest.java
@@ -49,6 +49,12 @@
         return IntStream.range(0, count).mapToObj(i -> client().send(half)).toList();
     }
 
+    /** Returns the time left that an attempt tells its executor, in milliseconds. */
+    private static long toldMs(String attempt) {
+        int at = attempt.indexOf("X-Time-Left: ") + "X-Time-Left: ".length();
+        return Long.parseLong(attempt.substring(at, attempt.indexOf('m', at)));
+    }
+
     private void serve(Peer client, String id, int attempt) {
         attempt(attempt, id).send(answer("202 Accepted", ""));
         done(id, "result of " + id);
@@ -81,11 +87,27 @@
         String attempt = attempt(0, "c1").receivedText();
         long waitedMs = (System.nanoTime() - sentNs) / 1_000_000;
         assertTrue(waitedMs > 100, "waited " + waitedMs);
-        int at = attempt.indexOf("X-Time-Left: ") + "X-Time-Left: ".length();
-        long toldMs = Long.parseLong(attempt.substring(at, attempt.indexOf('m', at)));
+        long toldMs = toldMs(attempt);
         assertTrue(toldMs <= 30_000 - waitedMs + 20, "told " + toldMs + " ms after " + waitedMs + " ms");
     }
 
+    /** Guards against a later request that is taken for as old as a wait that ended with a buffer filled to its end. */
+    @Test
+    void waitDoesNotCountAgainstTheNextRequest() {
+        stoppedRequests(STOPPED_REQUESTS);
+        net.settle(20);
+        int headBytes = job("c1", BODY_BYTES).length() - BODY_BYTES;
+        Peer client = client().send(job("c1", 32 * 1024 - headBytes));
+        serve(client, "c1", 0);
+        executor.get(0).take();
+        net.settle(300);
+        long sentNs = System.nanoTime();
+        client.send(job("c2", END.length()));
+        String attempt = attempt(0, "c2").receivedText();
+        long tookMs = (System.nanoTime() - sentNs) / 1_000_000;
+        assertTrue(toldMs(attempt) >= 30_000 - tookMs - 20, attempt);
+    }
+
     /** Guards against requests that never get an answer because clients that write slowly have all the memory. */
     @Test
     void requestIsShedInTimeWhileSlowClientsHoldAllMemory() {
