--- a/review/standin2/Stand.java
+++ b/review/standin2/Stand.java
@@ -48,7 +48,7 @@
     final Path temporary;
     private final BufferedWriter record;
     private final long startedNs = System.nanoTime();
-    private final List<Process> processes = new ArrayList<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
 
     private Stand(Path root, Path folder) throws IOException {
         this.root = root;
@@ -94,10 +94,10 @@
     }
 
     private synchronized void endProcesses() {
-        for (Process each : processes) {
+        for (Process each : processes.values()) {
             each.destroyForcibly();
         }
-        for (Process each : processes) {
+        for (Process each : processes.values()) {
             try {
                 each.waitFor(5, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
@@ -177,12 +177,25 @@
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         Process process = builder.start();
         synchronized (this) {
-            processes.add(process);
+            processes.put(name, process);
         }
         this.log("started " + name + " pid=" + process.pid());
         return process;
     }
 
+    /** Sends a signal to a program that this case has started. */
+    void signal(String name, String signal) throws IOException {
+        try {
+            new ProcessBuilder("kill", "-" + signal, "" + processes.get(name).pid()).start().waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    boolean alive(String name) {
+        return processes.get(name).isAlive();
+    }
+
     /** Copies the last lines of a program's log into the record. */
     void logOf(String name, int lines) {
         try {
