--- a/review/standin2/Stand.java
+++ b/review/standin2/Stand.java
@@ -183,6 +183,25 @@
         return process;
     }
 
+    /** Runs a program to its end and returns the lines that it has written. */
+    List<String> runToEnd(String name, List<String> command, int seconds) throws IOException {
+        Path output = temporary.resolve(name + ".log");
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+        synchronized (this) {
+            processes.put(name, process);
+        }
+        log("started " + name + " pid=" + process.pid());
+        try {
+            must(process.waitFor(seconds, TimeUnit.SECONDS), name + " does not end");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return Files.readAllLines(output);
+    }
+
     /** Sends a signal to a program that this case has started. */
     void signal(String name, String signal) throws IOException {
         try {
