--- a/review/standin2/Plat.java
+++ b/review/standin2/Plat.java
@@ -68,6 +68,9 @@
         /** While true the agent is silent, as while discovery is down. */
         volatile boolean silent;
 
+        /** The list as an operator has given it to discovery; null if it names the executors of the case. */
+        volatile String given;
+
         private volatile String servers = "";
         private volatile long version = 1;
 
@@ -86,7 +89,7 @@
 
         /** The whole list as it stands, also for the key {@code known}. */
         String list() {
-            return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + servers + "]}";
+            return given != null ? given : "{\"version\":" + version + ",\"full\":true,\"servers\":[" + servers + "]}";
         }
 
         private void connection(Socket socket) {
@@ -111,7 +114,9 @@
 
     /** An executor: answers 202, runs each job for its time and tells the end by a call. */
     static final class Executor {
-        final String id;
+        /** Its id; the importer gives ids of its own. */
+        volatile String id;
+
         final int port;
         /** How long a job runs. */
         volatile long runMs = 20;
