--- a/review/standin2/Crowd.java
+++ b/review/standin2/Crowd.java
@@ -16,7 +16,9 @@
 /** Clients with small jobs, and a crowd of bad clients that each send one long job at once and go. */
 final class Crowd {
     private static final int GOOD_CLIENTS = 4;
-    private static final int BAD_CLIENTS = 900;
+    private static final int BAD_CLIENTS = 1200;
+    /** How often such a crowd comes. */
+    private static final int CROWDS = 8;
     /** The longest body of a request. */
     private static final int LONGEST_BODY = 64 * 1024;
 
@@ -56,10 +58,12 @@
         Stand.pause(2000);
         stand.log("good clients: " + crowd.good.get() + " jobs answered, " + crowd.lost.get() + " lost");
         Stand.must(crowd.good.get() > 0 && crowd.lost.get() == 0, "the node does not serve without a disruption");
-        if (trouble) {
-            crowd.badClients();
+        for (int i = 0; i < CROWDS && node.isAlive(); i++) {
+            if (trouble) {
+                crowd.badClients();
+            }
+            Stand.pause(2000);
         }
-        Stand.pause(8000);
         crowd.ended = true;
         Stand.pause(500);
         boolean alive = node.isAlive();
@@ -108,13 +112,13 @@
         }
     }
 
-    /** Each connects, sends one job with the longest body at once, and goes when it is answered or after two seconds. */
+    /** Each connects, sends one job with the longest body at once, and goes when it is answered or after four seconds. */
     private void badClients() throws IOException {
         byte[] body = new byte[LONGEST_BODY];
         Arrays.fill(body, (byte) 'x');
         Map<String, Integer> ends = new TreeMap<>();
         stand.log(BAD_CLIENTS + " bad clients begin, each with one job of " + LONGEST_BODY + " bytes");
-        long goAt = System.nanoTime() + 2_000_000_000L;
+        long goAt = System.nanoTime() + 4_000_000_000L;
         InetSocketAddress node = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         try (Selector selector = Selector.open()) {
             for (int i = 0; i < BAD_CLIENTS; i++) {
