--- a/review/standin2/Gear.java
+++ b/review/standin2/Gear.java
@@ -52,7 +52,16 @@
     private final OutputStream out;
 
     Gear(int port) throws IOException {
-        socket = Stand.connect(port);
+        this(Stand.connect(port));
+    }
+
+    /** Connects from the given loopback address. */
+    Gear(int port, String from) throws IOException {
+        this(Stand.connect(port, from));
+    }
+
+    private Gear(Socket socket) throws IOException {
+        this.socket = socket;
         in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
         out = socket.getOutputStream();
     }
--- a/review/standin2/Stand.java
+++ b/review/standin2/Stand.java
@@ -230,7 +230,14 @@
     }
 
     static Socket connect(int port) throws IOException {
+        return connect(port, "127.0.0.1");
+    }
+
+    static Socket connect(int port, String from) throws IOException {
         Socket socket = new Socket();
+        if (!from.equals("127.0.0.1")) {
+            socket.bind(new InetSocketAddress(from, 0));
+        }
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 5000);
         return socket;
