--- a/review/standin2/Plat.java
+++ b/review/standin2/Plat.java
@@ -92,6 +92,12 @@
             return given != null ? given : "{\"version\":" + version + ",\"full\":true,\"servers\":[" + servers + "]}";
         }
 
+        /** Gives discovery another list, which has to name the next version. */
+        void change(String list) {
+            given = list;
+            version++;
+        }
+
         private void connection(Socket socket) {
             try (Stand.Http http = new Stand.Http(socket)) {
                 for (Stand.Message call = http.read(); call != null; call = http.read()) {
@@ -99,11 +105,13 @@
                         Stand.pause(10);
                     }
                     String target = call.word(1);
-                    String body = list();
-                    if (target.contains("after=" + version + "&")) {
-                        Stand.pause(Math.min(60_000, Long.parseLong(target.substring(target.indexOf("wait_ms=") + 8))));
-                        body = "{\"version\":" + version + ",\"full\":false,\"servers\":[]}";
+                    if (target.contains("after=" + version + "&")) { // a watch: waits for something newer
+                        long waitMs = Long.parseLong(target.substring(target.indexOf("wait_ms=") + 8));
+                        Stand.until(Math.min(60_000, waitMs), () -> !target.contains("after=" + version + "&"));
                     }
+                    String body = target.contains("after=" + version + "&")
+                            ? "{\"version\":" + version + ",\"full\":false,\"servers\":[]}"
+                            : list();
                     http.send("HTTP/1.1 200 OK", "", body.getBytes(StandardCharsets.UTF_8));
                 }
             } catch (IOException e) {
