--- a/review/standin2/ShortClients.java
+++ b/review/standin2/ShortClients.java
@@ -2,6 +2,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -18,6 +19,10 @@
     private final Stand stand;
     private final int port;
     private final Process server;
+    /** The clients' addresses but for the last number, drawn for each run. */
+    private final String network =
+            "127." + (10 + new Random().nextInt(200)) + "." + new Random().nextInt(250) + ".";
+
     private final AtomicInteger accepted = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
@@ -78,10 +83,13 @@
                 + unanswered.get() + ", run " + ran.get() + "; last error: " + lastError.get());
     }
 
-    /** One client after the other, each on a connection of its own; a loopback address for each row of clients. */
+    /**
+     * One client after the other, each on a connection of its own. The clients have many loopback addresses, so that the
+     * ports of closed connections, which rest for a minute, do not run short.
+     */
     private void clients(int row) {
         for (int i = 0; i < JOBS / CLIENTS_AT_ONCE && server.isAlive(); i++) {
-            try (Gear client = new Gear(port, "127.0.1." + (1 + row))) {
+            try (Gear client = new Gear(port, network + (1 + row + CLIENTS_AT_ONCE * (i % 16)))) {
                 client.timeout(10_000);
                 client.send(Gear.SUBMIT_JOB_BG, FUNCTION, "plan-" + row + "-" + i, WORKLOAD);
                 Gear.Packet answer = client.read();
