Gearman: a queued job keeps nothing of its connection, and is charged in full

A job now refers to a Submitter, which holds a count. A workload that is its own key is not copied any more. A client that joins a job is refused with MEMORY_LIMIT when there is no room for it.

--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -4,8 +4,10 @@
 import beechseam.dispatch.Idempotency;
 import beechseam.gearman.protocol.Arguments;
 import beechseam.gearman.protocol.Packet;
+import beechseam.gearman.queue.Admission;
 import beechseam.gearman.queue.Admission.Rejection;
 import beechseam.gearman.queue.Schedule;
+import java.nio.ByteBuffer;
 import java.time.Instant;
 import java.time.ZoneId;
 import java.time.ZonedDateTime;
@@ -18,6 +20,11 @@
  * waits for. The queues are fair among these sessions.
  */
 final class ClientSession {
+    /** Index of the unique key among the arguments of a submission. */
+    private static final int UNIQUE_KEY = 1;
+    /** Index of the reducer's name among the arguments of a reduce job. */
+    private static final int REDUCER = 2;
+
     private static final int MAX_NAME_CHARS = 512;
     private static final int MAX_UNIQUE_BYTES = 1024;
     /** A due time further ahead is treated as an error, such as milliseconds in place of seconds. */
@@ -27,8 +34,8 @@
     private final GearmanConnection connection;
     /** Jobs whose final answer this client waits for. */
     private final Set<GearmanJob> awaitedJobs = new LinkedHashSet<>();
-    /** Number of jobs that this client submitted and that have not ended, in the foreground or background. */
-    int openJobs;
+
+    private final Submitter submitter = new Submitter();
 
     private boolean exceptionsEnabled;
 
@@ -49,8 +56,8 @@
             case SUBMIT_JOB_BG -> submit(args, 2, Mode.BACKGROUND, null, 0);
             case SUBMIT_JOB_HIGH_BG -> submit(args, 2, Mode.HIGH_BACKGROUND, null, 0);
             case SUBMIT_JOB_LOW_BG -> submit(args, 2, Mode.LOW_BACKGROUND, null, 0);
-            case SUBMIT_REDUCE_JOB -> submit(args, 3, Mode.NORMAL, args.text(2), 0);
-            case SUBMIT_REDUCE_JOB_BACKGROUND -> submit(args, 3, Mode.BACKGROUND, args.text(2), 0);
+            case SUBMIT_REDUCE_JOB -> submit(args, 3, Mode.NORMAL, args.text(REDUCER), 0);
+            case SUBMIT_REDUCE_JOB_BACKGROUND -> submit(args, 3, Mode.BACKGROUND, args.text(REDUCER), 0);
             case SUBMIT_JOB_EPOCH -> {
                 long at = epoch(args.text(2));
                 if (at > 0) {
@@ -118,20 +125,21 @@
         if (function == null) {
             return; // the error has been sent
         }
-        String unique = args.text(1);
-        Object key = unique.equals("-") ? Jobs.key(unique, args.bytes(workload)) : Jobs.key(unique, null);
-        GearmanJob job = server.jobs.byKey(key, function);
+        String unique = args.text(UNIQUE_KEY);
+        GearmanJob job = server.jobs.byKey(Jobs.key(unique, args.view(workload)), function);
         boolean created = job == null;
         if (created) {
-            job = create(args, workload, function, key, mode, reducer);
-            if (job == null) {
-                return;
-            }
+            job = create(args, workload, function, unique, mode, reducer);
+        }
+        boolean joins = job != null && !mode.background && !job.isAwaitedBy(connection);
+        if (job == null || joins && !created && !reserveToJoin(job)) {
+            return; // the error has been sent
         }
         job.background |= mode.background;
         connection.write(Packet.JOB_CREATED.response(job.handle()));
         // The write may have closed the connection, and all jobs that the client waited for are then abandoned.
-        if (!mode.background && !connection.closed() && job.join(connection)) {
+        if (joins && !connection.closed()) {
+            job.join(connection);
             awaitedJobs.add(job);
         }
         if (created && !job.background && job.clientCount() == 0) {
@@ -144,10 +152,20 @@
         }
     }
 
+    /** Reserves memory for this client to wait for a job; false, after sending an error, if there is none. */
+    private boolean reserveToJoin(GearmanJob job) {
+        boolean reserved = server.jobs.reserveForClient(job);
+        if (!reserved) {
+            Rejection rejection = Admission.memoryLimit(server.budget);
+            connection.error(rejection.code(), rejection.reason());
+        }
+        return reserved;
+    }
+
     /** The function of a submission; null, after sending an error, if the submission is invalid. */
     private GearmanFunction functionFor(Arguments args, Mode mode) {
         String name = args.text(0);
-        if (!isValidName(name) || args.length(1) > MAX_UNIQUE_BYTES) {
+        if (!isValidName(name) || args.length(UNIQUE_KEY) > MAX_UNIQUE_BYTES) {
             connection.error(
                     "BAD_ARGUMENTS",
                     "a function's name has 1 to " + MAX_NAME_CHARS
@@ -157,7 +175,7 @@
         GearmanFunction function = server.function(name, connection);
         if (function != null
                 && function.jobClass(mode).idempotency() == Idempotency.KEYED
-                && args.text(1).isEmpty()) {
+                && args.length(UNIQUE_KEY) == 0) {
             connection.error("NO_KEY", "jobs of this function need a unique key");
             return null;
         }
@@ -166,25 +184,28 @@
 
     /** Creates a job; returns null, after sending an error, if a limit rejects it. */
     private GearmanJob create(
-            Arguments args, int workload, GearmanFunction function, Object key, Mode mode, String reducer) {
+            Arguments args, int workload, GearmanFunction function, String unique, Mode mode, String reducer) {
         if (server.stopping()) {
             connection.error("QUEUE_FULL", "the server is stopping");
             return null;
         }
-        // The array of a long packet is kept and holds workload and key; the overhead covers the rest of the job.
-        int charge = Jobs.OVERHEAD_BYTES + args.length(workload) + args.length(1);
+        int bytes = JobMemory.ofJob(args, UNIQUE_KEY, workload)
+                + JobMemory.ofText(reducer)
+                + (mode.background ? 0 : JobMemory.WAITING_CLIENT_BYTES);
         Rejection rejection = server.admission.check(
-                server.jobs.size(), openJobs, function.queues, mode.ordinal(), charge, server.budget);
+                server.jobs.size(), submitter.openJobs, function.queues, mode.ordinal(), bytes, server.budget);
         if (rejection != null) {
             connection.error(rejection.code(), rejection.reason());
             return null;
         }
+        ByteBuffer retained = args.retained(workload);
+        Object key = Jobs.key(unique, retained);
         GearmanJob job = new GearmanJob(
                 server.jobs.nextNumber(),
                 function,
-                new GearmanJob.Submission(args.text(1), key, args.retained(workload), mode, reducer, this, charge));
+                new GearmanJob.Submission(unique, key, retained, mode, reducer, submitter, bytes));
         server.jobs.add(job);
-        openJobs++;
+        submitter.openJobs++;
         function.alive++;
         return job;
     }
@@ -219,7 +240,7 @@
     /** Removes this client from its jobs, and abandons each foreground job that no other client waits for. */
     void connectionLost() {
         for (GearmanJob job : List.copyOf(awaitedJobs)) {
-            job.leave(connection);
+            server.jobs.leave(job, connection);
             if (job.clientCount() == 0 && !job.background) {
                 server.abandon(job, Jobs.End.LEFT);
             }
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -36,7 +36,7 @@
      *
      * @param key     the key that later submissions join the job by; null without one
      * @param reducer the reducer's name; null unless it is a reduce job
-     * @param charge  bytes that are reserved for the job
+     * @param reservedBytes bytes that are reserved for the job
      */
     record Submission(
             String unique,
@@ -44,8 +44,8 @@
             ByteBuffer workload,
             Mode mode,
             String reducer,
-            ClientSession submitter,
-            int charge) {}
+            Submitter submitter,
+            int reservedBytes) {}
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
@@ -55,10 +55,10 @@
     final Mode mode;
     /** The reducer's name; null unless it is a reduce job. */
     final String reducer;
-    /** The session that submitted the job; queues give each session its turn. */
-    final ClientSession submitter;
-    /** Bytes that are reserved for the job. */
-    final int charge;
+    /** The client that submitted the job; queues give each client its turn. */
+    final Submitter submitter;
+    /** Bytes that are reserved for the job and the clients that wait for it. */
+    int reservedBytes;
     /** The key that later submissions join the job by; null without one. */
     Object key;
 
@@ -98,7 +98,7 @@
         this.mode = submission.mode();
         this.reducer = submission.reducer();
         this.submitter = submission.submitter();
-        this.charge = submission.charge();
+        this.reservedBytes = submission.reservedBytes();
     }
 
     String handle() {
@@ -127,6 +127,7 @@
         ended = true;
         stage = Stage.ENDED;
         workload = EMPTY;
+        key = null;
         result = null;
         client = null;
         otherClients = null;
@@ -136,11 +137,8 @@
         return runs > 0;
     }
 
-    /** Adds a client that waits for the job; false when the client waits already. */
-    boolean join(GearmanConnection connection) {
-        if (client == connection || otherClients != null && otherClients.contains(connection)) {
-            return false;
-        }
+    /** Adds a client that does not wait for the job yet. */
+    void join(GearmanConnection connection) {
         if (client == null) {
             client = connection;
         } else {
@@ -149,17 +147,22 @@
             }
             otherClients.add(connection);
         }
-        return true;
     }
 
-    void leave(GearmanConnection connection) {
+    /** Removes a client that waits for the job; false if it does not wait. */
+    boolean leave(GearmanConnection connection) {
         if (client == connection) {
             client = otherClients == null || otherClients.isEmpty()
                     ? null
                     : otherClients.remove(otherClients.size() - 1);
-        } else if (otherClients != null) {
-            otherClients.remove(connection);
+            return true;
         }
+        return otherClients != null && otherClients.remove(connection);
+    }
+
+    /** Whether the client waits for the job. */
+    boolean isAwaitedBy(GearmanConnection connection) {
+        return client == connection || otherClients != null && otherClients.contains(connection);
     }
 
     /** The clients that wait for the job. */
--- a/src/main/java/beechseam/gearman/Jobs.java
+++ b/src/main/java/beechseam/gearman/Jobs.java
@@ -1,6 +1,7 @@
 package beechseam.gearman;
 
 import beechseam.gearman.queue.ByteBudget;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
@@ -25,9 +26,6 @@
         LOST
     }
 
-    /** Memory that a job takes besides its workload, with a key of ten letters. */
-    static final int OVERHEAD_BYTES = 400;
-
     private final String prefix;
     private final ByteBudget budget;
     private final Map<Long, GearmanJob> byNumber = new LinkedHashMap<>();
@@ -35,19 +33,6 @@
     private final long[] ended = new long[End.values().length];
     private long accepted;
 
-    /** The key of a job submitted with the unique key "-": its workload, compared byte for byte. */
-    private record Content(byte[] workload) {
-        @Override
-        public boolean equals(Object o) {
-            return o instanceof Content c && Arrays.equals(workload, c.workload);
-        }
-
-        @Override
-        public int hashCode() {
-            return Arrays.hashCode(workload);
-        }
-    }
-
     Jobs(String server, ByteBudget budget) {
         prefix = "H:" + server + ":";
         this.budget = budget;
@@ -59,10 +44,10 @@
 
     /**
      * The key for a submission's unique key. The published protocol defines "-" as the workload itself, and an
-     * empty unique key as none, for which this returns null.
+     * empty unique key as none, for which this returns null. The key is valid as long as the workload's buffer.
      */
-    static Object key(String unique, byte[] workload) {
-        return unique.isEmpty() ? null : unique.equals("-") ? new Content(workload) : unique;
+    static Object key(String unique, ByteBuffer workload) {
+        return unique.isEmpty() ? null : unique.equals("-") ? new ContentKey(workload) : unique;
     }
 
     /** The function's job with that key that has not ended, or null. */
@@ -110,7 +95,25 @@
         if (job.key != null) {
             unlink(job);
         }
-        budget.releaseWorkload(job.charge);
+        budget.releaseWorkload(job.reservedBytes);
+        job.reservedBytes = 0;
+    }
+
+    /** Reserves memory for one more client that waits for the job; false when the memory budget is exhausted. */
+    boolean reserveForClient(GearmanJob job) {
+        if (!budget.reserveWorkload(JobMemory.WAITING_CLIENT_BYTES)) {
+            return false;
+        }
+        job.reservedBytes += JobMemory.WAITING_CLIENT_BYTES;
+        return true;
+    }
+
+    /** Removes a client that waits for the job, if it does, and releases its memory. */
+    void leave(GearmanJob job, GearmanConnection client) {
+        if (job.leave(client)) {
+            budget.releaseWorkload(JobMemory.WAITING_CLIENT_BYTES);
+            job.reservedBytes -= JobMemory.WAITING_CLIENT_BYTES;
+        }
     }
 
     private void unlink(GearmanJob job) {
--- a/src/main/java/beechseam/gearman/protocol/Arguments.java
+++ b/src/main/java/beechseam/gearman/protocol/Arguments.java
@@ -64,6 +64,11 @@
         return new String(array, starts[i], length(i), StandardCharsets.UTF_8);
     }
 
+    /** Argument i as a buffer that is valid only during the call that passes the arguments, unless owned. */
+    public ByteBuffer view(int i) {
+        return ByteBuffer.wrap(array, starts[i], length(i));
+    }
+
     /** A copy of argument i. */
     public byte[] bytes(int i) {
         return Arrays.copyOfRange(array, starts[i], ends[i]);
@@ -71,7 +76,12 @@
 
     /** Argument i as a buffer that stays valid after the call; it is copied only if the array is not owned. */
     public ByteBuffer retained(int i) {
-        return owned ? ByteBuffer.wrap(array, starts[i], length(i)) : ByteBuffer.wrap(bytes(i));
+        return owned ? view(i) : ByteBuffer.wrap(bytes(i));
+    }
+
+    /** The bytes of heap that {@link #retained} keeps alive: those of the whole array if it is owned. */
+    public int retainedBytes(int i) {
+        return owned ? array.length : length(i);
     }
 
     /** Whether argument i equals the given text, byte for byte. */
--- a/src/main/java/beechseam/gearman/queue/Admission.java
+++ b/src/main/java/beechseam/gearman/queue/Admission.java
@@ -46,11 +46,15 @@
                             + " jobs of this function and priority wait, the most that may");
         }
         if (!budget.reserveWorkload(bytes)) {
-            return new Rejection(
-                    "MEMORY_LIMIT",
-                    "max_memory_mb: workloads hold " + budget.workloadBytes() + " bytes of "
-                            + budget.maxWorkloadBytes());
+            return memoryLimit(budget);
         }
         return null;
     }
+
+    /** The rejection of whatever no bytes could be reserved for. */
+    public static Rejection memoryLimit(ByteBudget budget) {
+        return new Rejection(
+                "MEMORY_LIMIT",
+                "max_memory_mb: workloads hold " + budget.workloadBytes() + " bytes of " + budget.maxWorkloadBytes());
+    }
 }
