Gearman: client ids and status texts of any length are not kept any more

A client id over 512 bytes is answered BAD_ARGUMENTS. A WORK_STATUS is passed on as before, and texts over 64 characters are not kept for GET_STATUS.

--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -214,8 +214,8 @@
         GearmanJob job = unique ? server.jobs.byUnique(name) : server.jobs.byHandle(name);
         Object known = job == null ? "0" : "1";
         Object running = job != null && job.running() ? "1" : "0";
-        Object numerator = job == null ? "0" : job.numerator;
-        Object denominator = job == null ? "0" : job.denominator;
+        Object numerator = job == null ? "0" : job.numerator();
+        Object denominator = job == null ? "0" : job.denominator();
         connection.write(
                 unique
                         ? Packet.STATUS_RES_UNIQUE.response(
--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -22,6 +22,7 @@
  */
 final class GearmanConnection extends Connection implements PacketDecoder.Owner {
     private static final int MAX_LINE_BYTES = 2048;
+    private static final int MAX_CLIENT_ID_BYTES = 512;
     /** Bodies up to this size are decoded in the read buffer; a longer one gets an array of its own. */
     static final int MAX_IN_PLACE_BYTES = Buffers.SIZE / 2;
     /** Above this many unwritten bytes, the peer's own requests are not read. */
@@ -199,7 +200,7 @@
             case GET_STATUS_UNIQUE -> session.status(args.text(0), true);
             case OPTION_REQ -> session.option(args.text(0));
             case ECHO_REQ -> echo(args);
-            case SET_CLIENT_ID -> setClientId(args.text(0));
+            case SET_CLIENT_ID -> setClientId(args);
             case CAN_DO -> canDo(args.text(0), "0");
             case CAN_DO_TIMEOUT -> canDo(args.text(0), args.text(1));
             case CANT_DO -> workerSession().cantDo(args.text(0));
@@ -223,8 +224,12 @@
     }
 
     /** Sets the client id, with whitespace and control characters replaced: admin answers contain it. */
-    private void setClientId(String text) {
-        clientId = text.replaceAll("[\\s\\p{Cntrl}]", "_");
+    private void setClientId(Arguments args) {
+        if (args.length(0) > MAX_CLIENT_ID_BYTES) {
+            error("BAD_ARGUMENTS", "a client id has at most " + MAX_CLIENT_ID_BYTES + " bytes");
+            return;
+        }
+        clientId = args.text(0).replaceAll("[\\s\\p{Cntrl}]", "_");
         if (worker != null) {
             worker.clientIdChanged();
         }
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -48,6 +48,8 @@
             int reservedBytes) {}
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+    /** The longest text of a WORK_STATUS that is kept for status requests. */
+    private static final int MAX_STATUS_CHARS = 64;
 
     final long number;
     final GearmanFunction function;
@@ -86,8 +88,8 @@
 
     private GearmanConnection client;
     private List<GearmanConnection> otherClients;
-    String numerator = "0";
-    String denominator = "0";
+    private String numerator = "0";
+    private String denominator = "0";
 
     GearmanJob(long number, GearmanFunction function, Submission submission) {
         this.number = number;
@@ -223,6 +225,23 @@
         return all;
     }
 
+    /** Records the progress that a worker reported; texts that are too long to be numbers are ignored. */
+    void recordProgress(String reportedNumerator, String reportedDenominator) {
+        if (reportedNumerator.length() <= MAX_STATUS_CHARS && reportedDenominator.length() <= MAX_STATUS_CHARS) {
+            numerator = reportedNumerator;
+            denominator = reportedDenominator;
+        }
+    }
+
+    /** The last reported progress is {@code numerator} divided by {@code denominator}; both are any text. */
+    String numerator() {
+        return numerator;
+    }
+
+    String denominator() {
+        return denominator;
+    }
+
     /** Whether this attempt's data is sent to the clients. */
     boolean forwardsFor(Attempt attempt) {
         if (forwardedAttempt == null || forwardedAttempt.hasEnded()) {
--- a/src/main/java/beechseam/gearman/HeldJob.java
+++ b/src/main/java/beechseam/gearman/HeldJob.java
@@ -51,7 +51,7 @@
     void reportProgress() {
         GearmanJob job = GearmanFunction.job(attempt);
         try {
-            double share = Double.parseDouble(job.numerator) / Double.parseDouble(job.denominator);
+            double share = Double.parseDouble(job.numerator()) / Double.parseDouble(job.denominator());
             if (share >= 0 && share <= 1) {
                 function.engine().attemptProgressed(attempt, share);
             }
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -346,9 +346,8 @@
             case WORK_FAIL -> end(heldJob, Outcome.ERROR);
             case WORK_STATUS -> {
                 if (current && job.forwardsFor(heldJob.attempt)) {
-                    job.numerator = args.text(1);
-                    job.denominator = args.text(2);
-                    job.forward(kind, args.retained(2), args.text(0), job.numerator);
+                    job.recordProgress(args.text(1), args.text(2));
+                    job.forward(kind, args.retained(2), args.text(0), args.text(1));
                     heldJob.reportProgress();
                 }
             }
