Gearman: a keyed job is not assigned again after its window

The window was checked when the dispatcher chose the worker, and WorkerSession began the attempt up to grab_timeout_ms later without asking the engine.

WorkerSession.beginReserved asks the engine at the moment of the assignment, by the new Engine.tryBeginReserved, and ends what may not begin.

--- a/src/main/java/beechseam/core/AttemptLifecycle.java
+++ b/src/main/java/beechseam/core/AttemptLifecycle.java
@@ -2,6 +2,7 @@
 
 import beechseam.dispatch.LoadReport;
 import beechseam.dispatch.Outcome;
+import java.util.function.BooleanSupplier;
 
 /**
  * Handles attempts from the dispatcher's decision to their end. The dispatcher is notified of each attempt's end
@@ -50,6 +51,14 @@
     }
 
     boolean tryBegin(Attempt attempt) {
+        return tryBegin(attempt, () -> context.routes.acceptsNewWork(attempt.target));
+    }
+
+    boolean tryBeginReserved(Attempt attempt) {
+        return tryBegin(attempt, () -> true);
+    }
+
+    private boolean tryBegin(Attempt attempt, BooleanSupplier targetAccepts) {
         Request request = attempt.request;
         if (attempt.ended) {
             return false;
@@ -61,7 +70,7 @@
         // isClientConnected may itself end the request or the attempt, so both are checked again after it.
         boolean wanted =
                 !request.finished && request.ingress.isClientConnected(request) && !request.finished && !attempt.ended;
-        if (wanted && context.routes.acceptsNewWork(attempt.target) && context.now() < latestBegin(attempt)) {
+        if (wanted && targetAccepts.getAsBoolean() && context.now() < latestBegin(attempt)) {
             attempt.begun();
             return true;
         }
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -153,6 +153,15 @@
         return attempts.tryBegin(attempt);
     }
 
+    /**
+     * Checks the same as {@link #tryBegin} except for the target's state, for an egress that has reserved the target
+     * for this attempt: a reserved target is listed as accepting no new work. The egress itself ends the reservation
+     * when the target begins to drain.
+     */
+    public boolean tryBeginReserved(Attempt attempt) {
+        return attempts.tryBeginReserved(attempt);
+    }
+
     /** Reports that the target has started to run the attempt. */
     public void attemptStarted(Attempt attempt) {
         attempts.started(attempt);
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -209,8 +209,17 @@
         }
     }
 
-    /** Sends the job to a worker; its workload is not copied. */
-    void assignTo(GearmanConnection worker, Packet kind, Object... args) {
+    /** Sends the job to a worker with the packet that answers its kind of grab; the workload is not copied. */
+    void assignTo(GearmanConnection worker, Packet grab) {
+        String reducerName = reducer == null ? "" : reducer;
+        switch (grab) {
+            case GRAB_JOB_UNIQ -> assignTo(worker, Packet.JOB_ASSIGN_UNIQ, handle(), function.name, unique);
+            case GRAB_JOB_ALL -> assignTo(worker, Packet.JOB_ASSIGN_ALL, handle(), function.name, unique, reducerName);
+            default -> assignTo(worker, Packet.JOB_ASSIGN, handle(), function.name);
+        }
+    }
+
+    private void assignTo(GearmanConnection worker, Packet kind, Object... args) {
         if (workload.hasRemaining()) {
             worker.write(kind.responseBefore(workload.remaining(), args), workload.duplicate());
         } else {
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -41,11 +41,20 @@
     private State state = State.BUSY;
     private Location location;
     private Attempt reservedAttempt;
-    private Timer wakeUpTimer;
     private boolean drained;
     private boolean announcedAvailable;
     private int slots = 1;
 
+    private final Timer wakeUpTimer = new Timer() {
+        @Override
+        protected void fire() { // no grab after NOOP: the reserved attempt has not run
+            state = State.BUSY;
+            if (reservedAttempt != null) {
+                returnReserved(Outcome.UNREACHABLE);
+            }
+        }
+    };
+
     WorkerSession(GearmanServer server, long number, GearmanConnection connection) {
         this.server = server;
         this.number = number;
@@ -152,18 +161,39 @@
             slots = heldJobs.size() + 1;
             reportLoad();
         }
-        announceAvailability();
-        server.feed(this);
-        if (reservedAttempt == null || drained || heldJobs.size() >= maxJobs) {
-            state = State.BUSY;
+        Attempt attempt = beginReserved();
+        state = State.BUSY;
+        if (attempt == null) {
             announceAvailability();
             connection.write(Packet.NO_JOB.response());
-            return;
+        } else {
+            assign(attempt, kind);
+        }
+    }
+
+    /**
+     * Begins the attempt that is reserved for the worker, or that it is given now. Much time may have passed since the
+     * dispatcher chose the worker, so the engine decides whether the attempt may still begin; if not, the worker may be
+     * given another one.
+     *
+     * @return the attempt that has begun, or null if there is none for the worker
+     */
+    private Attempt beginReserved() {
+        while (true) {
+            announceAvailability();
+            server.feed(this);
+            if (reservedAttempt == null
+                    || drained
+                    || heldJobs.size() >= server.config.bounds().slots()) {
+                return null;
+            }
+            Attempt attempt = reservedAttempt;
+            if (GearmanFunction.job(attempt).function.engine().tryBeginReserved(attempt)) {
+                reservedAttempt = null;
+                return attempt;
+            }
+            cancelReservation(attempt);
         }
-        Attempt attempt = reservedAttempt;
-        reservedAttempt = null;
-        state = State.BUSY;
-        assign(attempt, kind);
     }
 
     void preSleep() {
@@ -256,25 +286,12 @@
         }
         state = State.WOKEN;
         connection.write(Packet.NOOP.response());
-        wakeUpTimer = new Timer() {
-            @Override
-            protected void fire() { // no grab after NOOP: the reserved attempt has not run
-                wakeUpTimer = null;
-                state = State.BUSY;
-                if (reservedAttempt != null) {
-                    returnReserved(Outcome.UNREACHABLE);
-                }
-            }
-        };
         server.loop.timers.set(
                 wakeUpTimer, server.loop.now() + server.config.turns().grabTimeoutNs());
     }
 
     private void cancelWakeUp() {
-        if (wakeUpTimer != null) {
-            server.loop.timers.cancel(wakeUpTimer);
-            wakeUpTimer = null;
-        }
+        server.loop.timers.cancel(wakeUpTimer);
     }
 
     private void returnReserved(Outcome outcome) {
@@ -301,24 +318,11 @@
         HeldJob previous = heldJobs.put(handle, heldJob);
         if (previous != null) { // an earlier attempt at the job; later packets count for this one
             previous.cancelTimeLimit();
-        } else {
-            job.runs++;
-            function.running += job.runs == 1 ? 1 : 0;
+        } else if (++job.runs == 1) {
+            function.running++;
         }
         reportLoad();
-        attempt.begun();
-        switch (kind) {
-            case GRAB_JOB_UNIQ -> job.assignTo(connection, Packet.JOB_ASSIGN_UNIQ, handle, function.name, job.unique);
-            case GRAB_JOB_ALL ->
-                job.assignTo(
-                        connection,
-                        Packet.JOB_ASSIGN_ALL,
-                        handle,
-                        function.name,
-                        job.unique,
-                        job.reducer == null ? "" : job.reducer);
-            default -> job.assignTo(connection, Packet.JOB_ASSIGN, handle, function.name);
-        }
+        job.assignTo(connection, kind);
         Ability ability = abilities.get(function.name);
         if (ability != null && ability.seconds() > 0) {
             heldJob.startTimeLimit(ability.member(), ability.seconds() * 1_000_000_000L);
