Gearman: one client cannot fill the memory for jobs so that all others are refused

Memory and max_jobs had one bound for all, first come first served.

A client may now hold up to eight times what is free of either (DynamicThreshold, after Choudhury and Hahne): eight ninths if it is alone, equal shares among greedy clients, and room for one that holds little. Submitter has the accounting and moves to gearman.queue. The calls of FairQueueTest pass a Submitter where they passed a number; what they check is the same.

--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -7,6 +7,7 @@
 import beechseam.gearman.queue.Admission;
 import beechseam.gearman.queue.Admission.Rejection;
 import beechseam.gearman.queue.Schedule;
+import beechseam.gearman.queue.Submitter;
 import java.nio.ByteBuffer;
 import java.time.Instant;
 import java.time.ZoneId;
@@ -44,6 +45,10 @@
         this.connection = connection;
     }
 
+    Submitter submitter() {
+        return submitter;
+    }
+
     boolean wantsExceptions() {
         return exceptionsEnabled;
     }
@@ -156,7 +161,7 @@
     private boolean reserveToJoin(GearmanJob job) {
         boolean reserved = server.jobs.reserveForClient(job);
         if (!reserved) {
-            Rejection rejection = Admission.memoryLimit(server.budget);
+            Rejection rejection = Admission.memoryLimit(job.submitter, server.budget);
             connection.error(rejection.code(), rejection.reason());
         }
         return reserved;
@@ -193,7 +198,7 @@
                 + JobMemory.ofText(reducer)
                 + (mode.background ? 0 : JobMemory.WAITING_CLIENT_BYTES);
         Rejection rejection = server.admission.check(
-                server.jobs.size(), submitter.openJobs, function.queues, mode.ordinal(), bytes, server.budget);
+                server.jobs.size(), submitter, function.queues, mode.ordinal(), bytes, server.budget);
         if (rejection != null) {
             connection.error(rejection.code(), rejection.reason());
             return null;
@@ -205,7 +210,7 @@
                 function,
                 new GearmanJob.Submission(unique, key, retained, mode, reducer, submitter, bytes));
         server.jobs.add(job);
-        submitter.openJobs++;
+        submitter.jobOpened();
         function.alive++;
         return job;
     }
--- a/src/main/java/beechseam/gearman/GearmanConnection.java
+++ b/src/main/java/beechseam/gearman/GearmanConnection.java
@@ -3,6 +3,8 @@
 import beechseam.gearman.protocol.Arguments;
 import beechseam.gearman.protocol.Packet;
 import beechseam.gearman.protocol.PacketDecoder;
+import beechseam.gearman.queue.Admission;
+import beechseam.gearman.queue.Admission.Rejection;
 import beechseam.net.Buffers;
 import beechseam.net.Connection;
 import java.io.IOException;
@@ -140,11 +142,9 @@
     @Override
     public PacketDecoder.Verdict longPacket(Packet kind, int size) {
         boolean submission = kind.name().startsWith("SUBMIT_");
-        if (submission && !server.budget.reserveWorkload(size)) {
-            error(
-                    "MEMORY_LIMIT",
-                    "max_memory_mb: workloads hold " + server.budget.workloadBytes() + " bytes of "
-                            + server.budget.maxWorkloadBytes() + ", and this one has " + size);
+        if (submission && !server.budget.reserveWorkload(session.submitter(), size)) {
+            Rejection rejection = Admission.memoryLimit(session.submitter(), server.budget);
+            error(rejection.code(), rejection.reason() + ", and this one has " + size);
             return PacketDecoder.Verdict.SKIP;
         }
         if (!submission && !server.budget.reserveResult(size, server.output.bytes())) {
@@ -160,7 +160,7 @@
 
     private void releaseReservation() {
         if (reservedBytes > 0 && reservedForJob) {
-            server.budget.releaseWorkload(reservedBytes);
+            server.budget.releaseWorkload(session.submitter(), reservedBytes);
         } else if (reservedBytes > 0) {
             server.budget.releaseResult(reservedBytes);
         }
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -7,6 +7,7 @@
 import beechseam.gearman.protocol.Packet;
 import beechseam.gearman.queue.QueuedJob;
 import beechseam.gearman.queue.Schedule;
+import beechseam.gearman.queue.Submitter;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -313,7 +313,7 @@
         }
         job.function.ended(job);
         jobs.end(job, how);
-        job.submitter.openJobs--;
+        job.submitter.jobEnded();
         for (GearmanConnection each : job.clients()) {
             each.session().jobEnded(job);
         }
--- a/src/main/java/beechseam/gearman/Jobs.java
+++ b/src/main/java/beechseam/gearman/Jobs.java
@@ -95,13 +95,13 @@
         if (job.key != null) {
             unlink(job);
         }
-        budget.releaseWorkload(job.reservedBytes);
+        budget.releaseWorkload(job.submitter, job.reservedBytes);
         job.reservedBytes = 0;
     }
 
     /** Reserves memory for one more client that waits for the job; false when the memory budget is exhausted. */
     boolean reserveForClient(GearmanJob job) {
-        if (!budget.reserveWorkload(JobMemory.WAITING_CLIENT_BYTES)) {
+        if (!budget.reserveWorkload(job.submitter, JobMemory.WAITING_CLIENT_BYTES)) {
             return false;
         }
         job.reservedBytes += JobMemory.WAITING_CLIENT_BYTES;
@@ -111,7 +111,7 @@
     /** Removes a client that waits for the job, if it does, and releases its memory. */
     void leave(GearmanJob job, GearmanConnection client) {
         if (job.leave(client)) {
-            budget.releaseWorkload(JobMemory.WAITING_CLIENT_BYTES);
+            budget.releaseWorkload(job.submitter, JobMemory.WAITING_CLIENT_BYTES);
             job.reservedBytes -= JobMemory.WAITING_CLIENT_BYTES;
         }
     }
--- a/src/main/java/beechseam/gearman/queue/Admission.java
+++ b/src/main/java/beechseam/gearman/queue/Admission.java
@@ -23,17 +23,24 @@
      * then reserved.
      *
      * @param jobs       jobs of the whole server that have not ended
-     * @param clientJobs jobs that this client has open
+     * @param submitter  the client, for which an admitted job's bytes are reserved
      * @param queues     queues of the function
      * @param level      level of the job; 0 is the most urgent
      * @param bytes      size of its workload
      * @param budget     budget from which an admitted job's bytes are reserved
      */
     public Rejection check(
-            int jobs, int clientJobs, PriorityQueues<?> queues, int level, long bytes, ByteBudget budget) {
+            int jobs, Submitter submitter, PriorityQueues<?> queues, int level, long bytes, ByteBudget budget) {
+        int clientJobs = submitter.openJobs();
         if (jobs >= limits.maxJobs()) {
             return new Rejection("QUEUE_FULL", "max_jobs: this server holds " + jobs + " jobs, the most it may");
         }
+        if (!DynamicThreshold.allows(clientJobs, 1, limits.maxJobs() - jobs)) {
+            return new Rejection(
+                    "QUEUE_FULL",
+                    "max_jobs: this connection has " + clientJobs + " of the " + jobs
+                            + " jobs on this server, which leaves the rest to others");
+        }
         if (clientJobs >= limits.maxJobsPerClient()) {
             return new Rejection(
                     "CLIENT_LIMIT",
@@ -45,16 +52,17 @@
                     "maxqueue: " + queues.queuedSharingBound(level)
                             + " jobs of this function and priority wait, the most that may");
         }
-        if (!budget.reserveWorkload(bytes)) {
-            return memoryLimit(budget);
+        if (!budget.reserveWorkload(submitter, bytes)) {
+            return memoryLimit(submitter, budget);
         }
         return null;
     }
 
     /** The rejection of whatever no bytes could be reserved for. */
-    public static Rejection memoryLimit(ByteBudget budget) {
+    public static Rejection memoryLimit(Submitter submitter, ByteBudget budget) {
         return new Rejection(
                 "MEMORY_LIMIT",
-                "max_memory_mb: workloads hold " + budget.workloadBytes() + " bytes of " + budget.maxWorkloadBytes());
+                "max_memory_mb: workloads hold " + budget.workloadBytes() + " bytes of " + budget.maxWorkloadBytes()
+                        + ", those of this connection " + submitter.reservedBytes());
     }
 }
--- a/src/main/java/beechseam/gearman/queue/ByteBudget.java
+++ b/src/main/java/beechseam/gearman/queue/ByteBudget.java
@@ -18,18 +18,25 @@
         maxWorkloadBytes = maxBytes - maxResultBytes;
     }
 
-    /** Reserves bytes for a workload until {@link #releaseWorkload}; false when the budget is exhausted. */
-    public boolean reserveWorkload(long bytes) {
-        if (workloadBytes > 0 && workloadBytes + bytes > maxWorkloadBytes) {
+    /**
+     * Reserves bytes for a workload until {@link #releaseWorkload}; false when the budget is exhausted, or nearly so
+     * and the client holds much of it (see {@link DynamicThreshold}).
+     */
+    public boolean reserveWorkload(Submitter submitter, long bytes) {
+        long free = maxWorkloadBytes - workloadBytes;
+        boolean allowed = bytes <= free && DynamicThreshold.allows(submitter.reservedBytes(), bytes, free);
+        if (workloadBytes > 0 && !allowed) {
             return false;
         }
         workloadBytes += bytes;
+        submitter.changeReservedBytes(bytes);
         return true;
     }
 
-    /** Releases the bytes of a workload whose job has ended. */
-    public void releaseWorkload(long bytes) {
+    /** Releases the bytes of a workload whose job has ended, which are reserved for {@code submitter}. */
+    public void releaseWorkload(Submitter submitter, long bytes) {
         workloadBytes -= bytes;
+        submitter.changeReservedBytes(-bytes);
     }
 
     /**
--- a/src/test/java/beechseam/gearman/queue/FairQueueTest.java
+++ b/src/test/java/beechseam/gearman/queue/FairQueueTest.java
@@ -249,34 +249,49 @@
         }
     }
 
+    private static Submitter submitter(int openJobs) {
+        Submitter submitter = new Submitter();
+        for (int i = 0; i < openJobs; i++) {
+            submitter.jobOpened();
+        }
+        return submitter;
+    }
+
     @Test
     void eachAdmissionLimitNamesItself() {
         ByteBudget budget = new ByteBudget(4000);
         Admission admission = new Admission(new Admission.Limits(10, 5));
         PriorityQueues<Job> queues = new PriorityQueues<>(1, 1, 0, 0);
-        assertNull(admission.check(9, 4, queues, 0, 1000, budget));
+        assertNull(admission.check(9, submitter(4), queues, 0, 1000, budget));
         assertEquals(1000, budget.workloadBytes());
-        assertEquals("QUEUE_FULL", admission.check(10, 0, queues, 0, 1, budget).code());
-        assertEquals("CLIENT_LIMIT", admission.check(0, 5, queues, 0, 1, budget).code());
-        Admission.Rejection memory = admission.check(0, 0, queues, 0, 2001, budget);
+        assertEquals(
+                "QUEUE_FULL",
+                admission.check(10, submitter(0), queues, 0, 1, budget).code());
+        assertEquals(
+                "CLIENT_LIMIT",
+                admission.check(0, submitter(5), queues, 0, 1, budget).code());
+        Admission.Rejection memory = admission.check(0, submitter(0), queues, 0, 2001, budget);
         assertEquals("MEMORY_LIMIT", memory.code());
         assertTrue(memory.reason().contains("max_memory_mb"), memory.reason());
         queues.setLimit(0, 0);
-        assertTrue(admission.check(0, 0, queues, 0, 1, budget).reason().contains("maxqueue"));
+        assertTrue(
+                admission.check(0, submitter(0), queues, 0, 1, budget).reason().contains("maxqueue"));
         assertEquals(1000, budget.workloadBytes(), "a rejected job reserves no bytes");
     }
 
     @Test
     void workloadsLeaveCapacityForResults() {
         ByteBudget budget = new ByteBudget(4000);
-        assertTrue(budget.reserveWorkload(9000), "a workload above the budget is admitted if it is the only one");
-        assertFalse(budget.reserveWorkload(1));
+        Submitter client = submitter(0);
+        assertTrue(
+                budget.reserveWorkload(client, 9000), "a workload above the budget is admitted if it is the only one");
+        assertFalse(budget.reserveWorkload(client, 1));
         assertTrue(budget.reserveResult(1000, 0));
         assertFalse(budget.reserveResult(1, 0));
         budget.releaseResult(1000);
         assertFalse(budget.reserveResult(600, 500), "bytes that clients have not read count");
         assertTrue(budget.reserveResult(9000, 0));
-        budget.releaseWorkload(9000);
-        assertTrue(budget.reserveWorkload(3000));
+        budget.releaseWorkload(client, 9000);
+        assertTrue(budget.reserveWorkload(client, 3000));
     }
 }
