Gearman: one client cannot name so many functions that others can name none

What submissions of a client may name first is bounded like memory and jobs, by DynamicThreshold; workers and operators may use the whole of max_functions. ClientShareTest: red before (90 of 90 functions by one client), green after.

--- a/src/main/java/beechseam/gearman/Admin.java
+++ b/src/main/java/beechseam/gearman/Admin.java
@@ -158,7 +158,7 @@
         if (words.length != 3 || !words[1].equals("function")) {
             return incomplete();
         }
-        GearmanFunction function = ClientSession.isValidName(words[2]) ? server.function(words[2], null) : null;
+        GearmanFunction function = ClientSession.isValidName(words[2]) ? server.function(words[2], null, null) : null;
         if (function == null) {
             return error("CREATE_FUNCTION", words[2]);
         }
--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -177,7 +177,7 @@
                             + " characters and none that controls, a key at most " + MAX_UNIQUE_BYTES + " bytes");
             return null;
         }
-        GearmanFunction function = server.function(name, connection);
+        GearmanFunction function = server.function(name, connection, submitter);
         if (function != null
                 && function.jobClass(mode).idempotency() == Idempotency.KEYED
                 && args.length(UNIQUE_KEY) == 0) {
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -11,6 +11,7 @@
 import beechseam.gearman.queue.FunctionArbiter;
 import beechseam.gearman.queue.PriorityQueues;
 import beechseam.gearman.queue.Schedule;
+import beechseam.gearman.queue.Submitter;
 
 /**
  * One function with its queued and delayed jobs and its own engine and dispatcher; {@link FunctionWorkers}
@@ -39,6 +40,9 @@
 
     final GearmanServer server;
     final String name;
+    /** The client that named it first; null if it was configured, or if a worker or an operator did. */
+    final Submitter creator;
+
     final PriorityQueues<GearmanJob> queues;
     final Schedule<GearmanJob> delayed = new Schedule<>();
     final FunctionWorkers workers;
@@ -74,9 +78,10 @@
         }
     };
 
-    GearmanFunction(GearmanServer server, String name, GearmanConfig.Function settings) {
+    GearmanFunction(GearmanServer server, String name, GearmanConfig.Function settings, Submitter creator) {
         this.server = server;
         this.name = name;
+        this.creator = creator;
         this.settings = settings;
         GearmanConfig.Turns turns = server.config.turns();
         queues = new PriorityQueues<>(Mode.values().length, PRIORITIES, turns.ageingTurn(), turns.ageingNs());
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -4,8 +4,10 @@
 import beechseam.core.Counters;
 import beechseam.core.Timer;
 import beechseam.gearman.queue.Admission;
+import beechseam.gearman.queue.Admission.Rejection;
 import beechseam.gearman.queue.ByteBudget;
 import beechseam.gearman.queue.FunctionArbiter;
+import beechseam.gearman.queue.Submitter;
 import beechseam.gearman.queue.WorkerGroups.Location;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
@@ -84,7 +86,7 @@
                 config.turns().ageingTurn(), config.turns().ageingNs());
         config.functions().keySet().stream()
                 .filter(name -> !name.equals(GearmanConfig.ANY))
-                .forEach(name -> createFunction(name).pinned = true);
+                .forEach(name -> createFunction(name, null).pinned = true);
         listener = new Listener(loop, config.listen(), this::accept);
         loop.timers.set(sweep, loop.now() + SWEEP_INTERVAL_NS);
         LOG.log(Level.INFO, "job server listening name=" + config.name() + " address=" + listener.address());
@@ -202,32 +204,32 @@
     /**
      * The function of a name, created if it does not exist. Returns null if it may not be created, after
      * sending the error to {@code requester} unless that is null.
+     *
+     * @param submitter the client that submits a job to it; null for a worker or an operator
      */
-    GearmanFunction function(String name, GearmanConnection requester) {
+    GearmanFunction function(String name, GearmanConnection requester, Submitter submitter) {
         GearmanFunction function = functions.get(name);
         if (function != null) {
             return function;
         }
-        String code;
-        String message;
-        if (name.equals(GearmanConfig.ANY) || config.function(name) == null) {
-            code = "UNKNOWN_FUNCTION";
-            message = "no function of this name is served here";
-        } else if (functions.size() >= config.bounds().functions()) {
-            code = "FUNCTION_LIMIT";
-            message = "max_functions: " + functions.size() + " functions are alive, the most that may";
-        } else {
-            return createFunction(name);
+        Rejection rejection = name.equals(GearmanConfig.ANY) || config.function(name) == null
+                ? new Rejection("UNKNOWN_FUNCTION", "no function of this name is served here")
+                : Admission.checkFunction(functions.size(), config.bounds().functions(), submitter);
+        if (rejection == null) {
+            return createFunction(name, submitter);
         }
         if (requester != null) {
-            requester.error(code, message);
+            requester.error(rejection.code(), rejection.reason());
         }
         return null;
     }
 
-    private GearmanFunction createFunction(String name) {
-        GearmanFunction function = new GearmanFunction(this, name, config.function(name));
+    private GearmanFunction createFunction(String name, Submitter creator) {
+        GearmanFunction function = new GearmanFunction(this, name, config.function(name), creator);
         functions.put(name, function);
+        if (creator != null) {
+            creator.functionCreated();
+        }
         return function;
     }
 
@@ -235,6 +237,9 @@
     void removeFunction(GearmanFunction function) {
         function.close();
         functions.remove(function.name);
+        if (function.creator != null) {
+            function.creator.functionRemoved();
+        }
         removedFunctionCounters.add(function.counters());
     }
 
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -108,7 +108,7 @@
             abilities.put(name, new Ability(known.function(), known.member(), seconds));
             return;
         }
-        GearmanFunction function = server.function(name, connection);
+        GearmanFunction function = server.function(name, connection, null);
         if (function == null) {
             return; // the error has been sent
         }
--- a/src/main/java/beechseam/gearman/queue/Admission.java
+++ b/src/main/java/beechseam/gearman/queue/Admission.java
@@ -58,6 +58,28 @@
         return null;
     }
 
+    /**
+     * Checks whether a function may be created. Returns the rejection, or null if it may.
+     *
+     * @param functions    functions that exist
+     * @param maxFunctions the most that may
+     * @param creator      the client that named it first; null if a worker or an operator did
+     */
+    public static Rejection checkFunction(int functions, int maxFunctions, Submitter creator) {
+        if (functions >= maxFunctions) {
+            return new Rejection(
+                    "FUNCTION_LIMIT", "max_functions: " + functions + " functions are alive, the most that may");
+        }
+        if (creator != null
+                && !DynamicThreshold.allows(creator.createdFunctions(), 1, (long) maxFunctions - functions)) {
+            return new Rejection(
+                    "FUNCTION_LIMIT",
+                    "max_functions: " + functions + " functions are alive, of which this connection named "
+                            + creator.createdFunctions() + ", which leaves the rest to others");
+        }
+        return null;
+    }
+
     /** The rejection of whatever no bytes could be reserved for. */
     public static Rejection memoryLimit(Submitter submitter, ByteBudget budget) {
         return new Rejection(
--- a/src/main/java/beechseam/gearman/queue/Submitter.java
+++ b/src/main/java/beechseam/gearman/queue/Submitter.java
@@ -7,6 +7,7 @@
  */
 public final class Submitter {
     private int openJobs;
+    private int createdFunctions;
     private long reservedBytes;
 
     /** Number of jobs that the client submitted and that have not ended, in the foreground or background. */
@@ -29,6 +30,21 @@
         openJobs--;
     }
 
+    /** Number of functions that exist because the client named them first. */
+    public int createdFunctions() {
+        return createdFunctions;
+    }
+
+    /** Records that a function exists because the client named it first. */
+    public void functionCreated() {
+        createdFunctions++;
+    }
+
+    /** Records that such a function was removed. */
+    public void functionRemoved() {
+        createdFunctions--;
+    }
+
     /** Records that bytes were reserved, or released if {@code delta} is negative. */
     void changeReservedBytes(long delta) {
         reservedBytes += delta;
--- a/src/test/java/beechseam/gearman/ClientShareTest.java
+++ b/src/test/java/beechseam/gearman/ClientShareTest.java
@@ -78,6 +78,27 @@
         assertOthersAreServed(Packet.SUBMIT_JOB_BG, SMALL);
     }
 
+    /** Guards against one client that names ever new functions, so that others cannot name one (picture b). */
+    @Test
+    void clientThatNamesManyFunctionsLeavesRoomForOthers() {
+        harness = new GearmanHarness(
+                "{\"listen\":\"127.0.0.1:0\",\"name\":\"t\",\"max_functions\":90,\"functions\":\"*\"}");
+        TestPeer greedy = harness.peer();
+        int named = 0;
+        while (submitTo("greedy-" + named, greedy).equals("JOB_CREATED")) {
+            named++;
+        }
+        assertEquals(80, named, "a client alone may name eight ninths of the functions");
+        for (int i = 0; i < OTHER_CLIENTS; i++) {
+            assertEquals("JOB_CREATED", submitTo("other-" + i, harness.peer()));
+            harness.peer().send(Packet.CAN_DO, "worker-" + i).expectNothing();
+        }
+    }
+
+    private static String submitTo(String function, TestPeer client) {
+        return client.send(Packet.SUBMIT_JOB_BG, function, "", SMALL).next("").split(" ")[0];
+    }
+
     /** Clients that all want more than there is get equal shares. */
     @Test
     void greedyClientsGetEqualShares() {
