Gearman: the key of a job stays in use while a worker runs the job

The running job was abandoned with its client, and its key was free; likewise after the deadline.

A job that a worker runs goes on without clients, and a submission with its key joins it. Once such a job has its answer, its key is refused with KEY_IN_USE until the run ends, for functions that are not safe.

--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -132,6 +132,10 @@
         }
         String unique = args.text(UNIQUE_KEY);
         GearmanJob job = server.jobs.byKey(Jobs.key(unique, args.view(workload)), function);
+        if (job != null && job.hasEnded()) {
+            connection.error("KEY_IN_USE", "a worker still runs an earlier job with this key, which has its answer");
+            return;
+        }
         boolean created = job == null;
         if (created) {
             job = create(args, workload, function, unique, mode, reducer);
@@ -242,12 +246,15 @@
         awaitedJobs.remove(job);
     }
 
-    /** Removes this client from its jobs, and abandons each foreground job that no other client waits for. */
+    /**
+     * Removes this client from its jobs, and abandons each foreground job that no other client waits for. A job that a
+     * worker runs goes on, so that the client can join it again by its key.
+     */
     void connectionLost() {
         for (GearmanJob job : List.copyOf(awaitedJobs)) {
             server.jobs.leave(job, connection);
-            if (job.clientCount() == 0 && !job.background) {
-                server.abandon(job, Jobs.End.LEFT);
+            if (!job.running()) {
+                server.abandonIfUnwanted(job);
             }
         }
         awaitedJobs.clear();
--- a/src/main/java/beechseam/gearman/GearmanFunction.java
+++ b/src/main/java/beechseam/gearman/GearmanFunction.java
@@ -244,6 +244,21 @@
         }
     }
 
+    /** Records that one more worker runs the job. */
+    void runStarted(GearmanJob job) {
+        if (++job.runs == 1) {
+            running++;
+        }
+    }
+
+    /** Records that a worker runs the job no longer. */
+    void runEnded(GearmanJob job) {
+        if (--job.runs == 0) {
+            running--;
+            server.jobs.runsEnded(job);
+        }
+    }
+
     @Override
     public int mostUrgentLevel() {
         return queues.mostUrgentLevel();
@@ -302,9 +317,9 @@
         }
     }
 
-    /** Whether the function has no jobs, no open requests and no workers. */
+    /** Whether the function has no jobs, no open requests, no runs and no workers. */
     boolean unused() {
-        return alive == 0 && open() == 0 && workers.groups.memberCount() == 0;
+        return alive == 0 && open() == 0 && running == 0 && workers.groups.memberCount() == 0;
     }
 
     void close() {
--- a/src/main/java/beechseam/gearman/GearmanJob.java
+++ b/src/main/java/beechseam/gearman/GearmanJob.java
@@ -4,6 +4,7 @@
 import beechseam.core.Attempt;
 import beechseam.core.Ingress;
 import beechseam.core.Request;
+import beechseam.dispatch.Idempotency;
 import beechseam.gearman.protocol.Packet;
 import beechseam.gearman.queue.QueuedJob;
 import beechseam.gearman.queue.Schedule;
@@ -125,12 +126,14 @@
         return ended;
     }
 
-    /** Marks the job as ended and releases its workload, result and clients. Only the handle is used afterwards. */
+    /**
+     * Marks the job as ended and releases its workload, result and clients. Only the handle is used afterwards, and the
+     * key while a worker still runs the job.
+     */
     void finish() {
         ended = true;
         stage = Stage.ENDED;
         workload = EMPTY;
-        key = null;
         result = null;
         client = null;
         otherClients = null;
@@ -140,6 +143,21 @@
         return runs > 0;
     }
 
+    /** Whether the job is to be run: somebody waits for it, or it was submitted as a background job. */
+    boolean isWanted() {
+        return background || client != null;
+    }
+
+    @Override
+    public boolean isClientConnected(Request ignored) {
+        return isWanted();
+    }
+
+    /** Whether a further submission with the same key must not run while a worker may still run this job. */
+    boolean reservesKey() {
+        return key != null && running() && function.jobClass(mode).idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     /** Adds a client that does not wait for the job yet. */
     void join(GearmanConnection connection) {
         if (client == null) {
@@ -263,7 +281,7 @@
     @Override
     public void served(Request request, byte[] ignored) {
         forward(Packet.WORK_COMPLETE, result, handle());
-        function.server.finished(this, Jobs.End.SERVED);
+        function.server.finished(this, isWanted() ? Jobs.End.SERVED : Jobs.End.LEFT);
     }
 
     @Override
@@ -285,6 +303,6 @@
 
     void fail(Jobs.End how) {
         forward(Packet.WORK_FAIL, null, handle());
-        function.server.finished(this, how);
+        function.server.finished(this, isWanted() ? how : Jobs.End.LEFT);
     }
 }
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -331,6 +331,13 @@
         withdrawAndEnd(job, () -> finished(job, how));
     }
 
+    /** Ends a job, without an answer, if it is a foreground job that no client waits for any more. */
+    void abandonIfUnwanted(GearmanJob job) {
+        if (!job.hasEnded() && !job.isWanted()) {
+            abandon(job, Jobs.End.LEFT);
+        }
+    }
+
     /** Cancels a job on an operator's request before a worker has started it; its clients receive a failure. */
     void cancel(GearmanJob job) {
         withdrawAndEnd(job, () -> job.fail(Jobs.End.CANCELLED));
--- a/src/main/java/beechseam/gearman/Jobs.java
+++ b/src/main/java/beechseam/gearman/Jobs.java
@@ -50,7 +50,7 @@
         return unique.isEmpty() ? null : unique.equals("-") ? new ContentKey(workload) : unique;
     }
 
-    /** The function's job with that key that has not ended, or null. */
+    /** The function's job with that key that has not ended, or that a worker still runs after its end; or null. */
     GearmanJob byKey(Object key, GearmanFunction function) {
         GearmanJob job = key == null ? null : byKey.get(key);
         while (job != null && job.function != function) {
@@ -74,7 +74,11 @@
 
     /** Finds a job by its unique key in any function, since the protocol's request names no function. */
     GearmanJob byUnique(String unique) {
-        return unique.isEmpty() ? null : byKey.get(unique);
+        GearmanJob job = unique.isEmpty() ? null : byKey.get(unique);
+        while (job != null && job.hasEnded()) {
+            job = job.sameKey;
+        }
+        return job;
     }
 
     long nextNumber() {
@@ -92,8 +96,23 @@
     void end(GearmanJob job, End how) {
         ended[how.ordinal()]++;
         byNumber.remove(job.number);
+        if (!job.reservesKey()) {
+            release(job);
+        }
+    }
+
+    /** Records that no worker runs the job any more. */
+    void runsEnded(GearmanJob job) {
+        if (job.hasEnded()) {
+            release(job);
+        }
+    }
+
+    /** Releases the key and the memory of an ended job that no worker runs any more. */
+    void release(GearmanJob job) {
         if (job.key != null) {
             unlink(job);
+            job.key = null;
         }
         budget.releaseWorkload(job.submitter, job.reservedBytes);
         job.reservedBytes = 0;
--- a/src/main/java/beechseam/gearman/WorkerSession.java
+++ b/src/main/java/beechseam/gearman/WorkerSession.java
@@ -318,8 +318,8 @@
         HeldJob previous = heldJobs.put(handle, heldJob);
         if (previous != null) { // an earlier attempt at the job; later packets count for this one
             previous.cancelTimeLimit();
-        } else if (++job.runs == 1) {
-            function.running++;
+        } else {
+            function.runStarted(job);
         }
         reportLoad();
         job.assignTo(connection, kind);
@@ -374,14 +374,14 @@
             heldJob.function.workers.recordOutcome(member, outcome, server.loop.now() - heldJob.startedAtNs);
         }
         heldJob.function.workers.attemptEnded(heldJob.attempt, outcome, null, member);
+        server.abandonIfUnwanted(GearmanFunction.job(heldJob.attempt));
     }
 
     private void removeHeldJob(HeldJob heldJob) {
         heldJob.cancelTimeLimit();
         GearmanJob job = GearmanFunction.job(heldJob.attempt);
         heldJobs.remove(job.handle());
-        job.runs--;
-        heldJob.function.running -= job.runs == 0 ? 1 : 0;
+        heldJob.function.runEnded(job);
         reportLoad();
     }
 
@@ -390,8 +390,7 @@
         cancelWakeUp();
         resetAbilities();
         for (HeldJob heldJob : new ArrayList<>(heldJobs.values())) { // each may have run up to any point
-            removeHeldJob(heldJob);
-            heldJob.function.workers.attemptEnded(heldJob.attempt, Outcome.LOST, null, null);
+            end(heldJob, Outcome.LOST);
         }
         if (reservedAttempt != null) {
             returnReserved(Outcome.NOT_SENT);
