Node: refuse the id of a job that may still run after its client has left

HeldCorrelations keeps the ids of requests that are not idempotent and may still run, or may have run for a client that has left, for the longest deadline; they get 409, as open ids do. An id that comes again because its connection was closed unread has no attempt and is not refused.

--- a/src/main/java/beechseam/core/AttemptLifecycle.java
+++ b/src/main/java/beechseam/core/AttemptLifecycle.java
@@ -152,6 +152,7 @@
         }
         Request request = attempt.request;
         attempt.ended = true;
+        recordWhetherRun(attempt, outcome);
         request.attemptsInFlight--;
         context.counters.recordOutcome(outcome);
         EngineTrace.attemptEnded(request.id, attempt.number, attempt.target, outcome, load);
@@ -169,4 +170,15 @@
         context.dispatcher().attemptEnded(context.now(), request.id, attempt.number, outcome, request.finished, load);
         context.requests.removeIfSettled(request);
     }
+
+    /** Holds the request's correlation id if the attempt may still run, or may have run for a client that has left. */
+    private void recordWhetherRun(Attempt attempt, Outcome outcome) {
+        Request request = attempt.request;
+        boolean mayHaveRun = attempt.begun && !outcome.neverRan();
+        boolean mayStillRun = outcome != Outcome.SERVED && outcome != Outcome.ERROR;
+        request.mayHaveRun |= mayHaveRun;
+        if (mayHaveRun && request.mustNotRepeat && (mayStillRun || request.finished)) {
+            context.heldCorrelations.hold(request.correlation, context.now());
+        }
+    }
 }
--- a/src/main/java/beechseam/core/Engine.java
+++ b/src/main/java/beechseam/core/Engine.java
@@ -7,6 +7,7 @@
 import beechseam.dispatch.LoadReport;
 import beechseam.dispatch.Outcome;
 import beechseam.dispatch.WorkerEndpoint;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -38,7 +39,7 @@
      */
     public Engine(
             DispatchSettings settings, long seed, LongSupplier clock, Timers timers, Egress egress, Counters counters) {
-        context = new EngineContext(clock, timers, egress, counters, settings.limits());
+        context = new EngineContext(clock, timers, egress, counters, settings);
         attempts = new AttemptLifecycle(context);
         requests = new RequestLifecycle(context, attempts);
         EngineTrace.engineStarted(settings);
@@ -73,6 +74,34 @@
         return context.requests.size();
     }
 
+    /**
+     * Sets how long a correlation id is refused after its request, of a class that is not idempotent, has ended without
+     * certainty: an attempt may still run, or may have run for a client that has left. For hosts whose clients choose
+     * the ids.
+     *
+     * @param durationNs the time in nanoseconds; 0, the initial value, refuses only ids of open requests
+     */
+    public void holdCorrelations(long durationNs) {
+        context.heldCorrelations.setDuration(durationNs);
+    }
+
+    /** Refuses a correlation id for the time set by {@link #holdCorrelations}: its request runs by another process. */
+    public void holdCorrelation(String correlation) {
+        context.heldCorrelations.hold(correlation, now());
+    }
+
+    /** The correlation ids that must not run by another process: held ones, and open ones that may have begun. */
+    public List<String> correlationsInUse() {
+        List<String> inUse = new ArrayList<>(context.heldCorrelations.all(now()));
+        inUse.addAll(context.requests.correlationsBegun());
+        return inUse;
+    }
+
+    /** Whether the request must not run again under its correlation id once an attempt may have run. */
+    public boolean mustNotRepeat(Request request) {
+        return request.mustNotRepeat;
+    }
+
     /** The open request with that correlation id, or null. */
     public Request findRequest(String correlation) {
         return context.requests.find(correlation);
@@ -87,7 +116,7 @@
      * @param slots       how many slots of a target the request needs
      * @param memory      how much memory of a target the request needs, in slots
      * @param message     data for the egress, which the engine does not read
-     * @return the request, or null if a request with that correlation id is still open
+     * @return the request, or null if the correlation id is in use: a request with it is open, or it is held
      */
     public Request submit(
             String correlation,
@@ -105,7 +134,7 @@
      * returns.
      *
      * @param job the request's properties; the engine ignores the job's id and assigns one of its own
-     * @return the request, or null if a request with that correlation id is still open
+     * @return the request, or null if the correlation id is in use: a request with it is open, or it is held
      */
     public Request submit(String correlation, Job job, Object message, Ingress ingress) {
         return requests.submit(correlation, job, message, ingress);
--- a/src/main/java/beechseam/core/EngineContext.java
+++ b/src/main/java/beechseam/core/EngineContext.java
@@ -4,6 +4,9 @@
 import beechseam.dispatch.DispatchLimits;
 import beechseam.dispatch.DispatchSettings;
 import beechseam.dispatch.Dispatcher;
+import beechseam.dispatch.Idempotency;
+import beechseam.dispatch.JobClass;
+import java.util.List;
 import java.util.function.LongSupplier;
 
 /**
@@ -18,18 +21,21 @@
     final EventQueue events;
     final RouteTable routes = new RouteTable();
     final RequestTable requests;
+    final HeldCorrelations heldCorrelations = new HeldCorrelations();
     final DeferredWork deferredWork = new DeferredWork();
 
+    private final List<JobClass> classes;
     private final LongSupplier clock;
     private SendGate sendGate = SendGate.ALWAYS_OPEN;
     private Dispatcher dispatcher;
 
-    EngineContext(LongSupplier clock, Timers timers, Egress egress, Counters counters, DispatchLimits limits) {
+    EngineContext(LongSupplier clock, Timers timers, Egress egress, Counters counters, DispatchSettings settings) {
         this.clock = clock;
         this.timers = timers;
         this.egress = egress;
         this.counters = counters;
-        this.limits = limits;
+        limits = settings.limits();
+        classes = settings.classes();
         events = new EventQueue(counters);
         requests = new RequestTable(timers);
     }
@@ -39,6 +45,11 @@
         dispatcher = events.createWithEventsQueued(() -> new Dispatcher(now(), settings, seed, actions));
     }
 
+    /** Whether jobs of a class must not be repeated, or only at some targets and for some time. */
+    boolean mustNotRepeat(int jobClass) {
+        return classes.get(jobClass).idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     Dispatcher dispatcher() {
         return dispatcher;
     }
--- a/src/main/java/beechseam/core/Request.java
+++ b/src/main/java/beechseam/core/Request.java
@@ -23,6 +23,11 @@
     /** Fires at the latest time for the final answer. */
     Timer deadline;
 
+    /** Whether the request must not run again under its correlation id once an attempt may have run. */
+    boolean mustNotRepeat;
+    /** Whether an attempt that has ended may have run. */
+    boolean mayHaveRun;
+
     int attemptsInFlight;
     boolean finished;
     /** Whether the request waits for the send gate; the dispatcher has not received it then. */
--- a/src/main/java/beechseam/core/RequestLifecycle.java
+++ b/src/main/java/beechseam/core/RequestLifecycle.java
@@ -20,11 +20,14 @@
 
     Request submit(String correlation, Job job, Object message, Ingress ingress) {
         long budgetNs = job.budgetNs();
-        if (context.requests.find(correlation) != null) {
+        boolean inUse = context.requests.find(correlation) != null
+                || context.heldCorrelations.isHeld(correlation, context.now());
+        if (inUse) {
             return null;
         }
         Request request =
                 new Request(++lastId, correlation, job.jobClass(), context.now() + budgetNs, message, ingress);
+        request.mustNotRepeat = context.mustNotRepeat(job.jobClass());
         context.requests.add(request);
         context.counters.requestsAccepted++;
         setDeadline(request, budgetNs);
@@ -73,6 +76,9 @@
             if (!request.finished) {
                 context.counters.clientsDisconnected++;
                 context.requests.finish(request);
+                if (request.mayHaveRun && request.mustNotRepeat) {
+                    context.heldCorrelations.hold(request.correlation, context.now());
+                }
                 context.dispatcher().clientDisconnected(context.now(), request.id);
                 context.requests.removeIfSettled(request);
             }
--- a/src/main/java/beechseam/core/RequestTable.java
+++ b/src/main/java/beechseam/core/RequestTable.java
@@ -1,6 +1,7 @@
 package beechseam.core;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -37,6 +38,15 @@
         return request == null || request.finished ? null : request;
     }
 
+    /** The correlation ids of open requests that must not be repeated and of which an attempt has begun. */
+    List<String> correlationsBegun() {
+        return byId.values().stream()
+                .filter(request -> request.mustNotRepeat)
+                .filter(request -> request.attempts.stream().anyMatch(attempt -> attempt.begun))
+                .map(request -> request.correlation)
+                .toList();
+    }
+
     int size() {
         return byId.size();
     }
--- a/src/main/java/beechseam/platform/DrainController.java
+++ b/src/main/java/beechseam/platform/DrainController.java
@@ -1,7 +1,6 @@
 package beechseam.platform;
 
 import beechseam.core.Timer;
-import beechseam.dispatch.JobClass;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 
@@ -102,7 +101,8 @@
         stopping = true;
         onClosed = whenClosed;
         long now = node.loop.now();
-        long lastResponseNs = KILL_DELAY_NS + Math.min(MAX_COUNTED_DEADLINE_NS, longestDeadlineNs()) - KILL_MARGIN_NS;
+        long lastResponseNs =
+                KILL_DELAY_NS + Math.min(MAX_COUNTED_DEADLINE_NS, node.longestDeadlineNs()) - KILL_MARGIN_NS;
         node.engine.answerAllBy(now + lastResponseNs);
         long serveNs = clientsHaveLeft ? 0 : Math.max(NEW_CONNECTIONS_NS, lastResponseNs - LAST_REQUEST_MARGIN_NS);
         LOG.log(Level.INFO, "shutdown started open_requests=" + node.engine.openRequests());
@@ -111,13 +111,6 @@
         node.loop.timers.set(check, node.loop.now() + CHECK_INTERVAL_NS);
     }
 
-    private long longestDeadlineNs() {
-        return node.options.settings.classes().stream()
-                .mapToLong(JobClass::deadlineNs)
-                .max()
-                .orElse(0);
-    }
-
     /** Updates the schedule after a successor process has appeared or ended during the shutdown. */
     void update() {
         drainBy(schedule.closesIdleAt());
--- a/src/main/java/beechseam/platform/IngressConnection.java
+++ b/src/main/java/beechseam/platform/IngressConnection.java
@@ -194,7 +194,7 @@
         Request submitted = node.engine.submit(id, job, forwarded, this);
         submitting = false;
         if (submitted == null) {
-            respondBadRequest(409, "a request with this X-Correlation-Id is still open");
+            respondBadRequest(409, "a request with this X-Correlation-Id is still open, or may still run");
         } else if (!submitted.finished()) {
             request = submitted;
             node.ingress().jobOpened();
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -6,6 +6,7 @@
 import beechseam.core.Counters;
 import beechseam.core.Engine;
 import beechseam.core.Timer;
+import beechseam.dispatch.JobClass;
 import beechseam.http.Slice;
 import beechseam.net.EventLoop;
 import beechseam.net.Listener;
@@ -91,6 +92,7 @@
         PlatformEgress egress = new PlatformEgress(pool, options);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
+        engine.holdCorrelations(longestDeadlineNs());
         statsReport = new StatsReport(engine, options.settings.classes());
         counters.confLoaded++;
         callbacks = new Callbacks(engine, options, this::forwardToPeer);
@@ -135,6 +137,14 @@
         return discovery.isSynced();
     }
 
+    /** The longest deadline of all classes, in nanoseconds. */
+    long longestDeadlineNs() {
+        return options.settings.classes().stream()
+                .mapToLong(JobClass::deadlineNs)
+                .max()
+                .orElse(0);
+    }
+
     private boolean forwardToPeer(Slice event) {
         return handover != null && handover.forwardToPeer(event);
     }
