Upgrade: an id that has begun in one process is refused by the other

The two processes of an upgrade did not know each other's ids.

Each process tells its peers the id of a request that begins and must not be repeated, and when a peer connects the ids in use.

--- a/src/main/java/beechseam/ops/HandoverLink.java
+++ b/src/main/java/beechseam/ops/HandoverLink.java
@@ -83,6 +83,9 @@
     /** The largest body of a frame, and so the largest piece of learned state, in bytes. */
     public static final int MAX_PIECE_BYTES = MAX_FRAME_BYTES - FRAME_HEADER_BYTES;
 
+    /** The callbacks that a process may send at once when a peer connects, in bytes. */
+    private static final long MAX_INITIAL_CALLBACK_BYTES = 4L * 1024 * 1024;
+
     private final EventLoop loop;
     private final Process process;
     private final Set<PeerConnection> peers = new LinkedHashSet<>();
@@ -216,7 +219,7 @@
 
         @Override
         protected long maxUnwrittenBytes() {
-            return learnedStateBytes + super.maxUnwrittenBytes();
+            return learnedStateBytes + MAX_INITIAL_CALLBACK_BYTES + super.maxUnwrittenBytes();
         }
 
         void send(Kind kind) {
--- a/src/main/java/beechseam/platform/Callbacks.java
+++ b/src/main/java/beechseam/platform/Callbacks.java
@@ -19,6 +19,8 @@
  * no attempt in flight at its sender is acknowledged and ignored.
  */
 final class Callbacks {
+    private static final String BEGUN_ELSEWHERE = "begun_elsewhere";
+
     private final Engine engine;
     private final ModuleOptions options;
     private final Predicate<Slice> forwardToPeer;
@@ -38,6 +40,15 @@
         return handle(body, true);
     }
 
+    /**
+     * An event for the node's other processes: a request has begun here, so its id must not be run there. It has the
+     * form of a callback, since processes of older versions ignore a callback for an unknown job.
+     */
+    static byte[] begunElsewhere(String correlation) {
+        return ("{\"id\":\"" + correlation + "\",\"from\":\"\",\"state\":\"" + BEGUN_ELSEWHERE + "\"}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Handles an event forwarded by a process that does not know its job; it is not forwarded again. */
     void handleForwarded(Slice body) {
         handle(body, false);
@@ -56,6 +67,10 @@
                 || !(event.get("state") instanceof String state)) {
             return false;
         }
+        if (!mayForward && state.equals(BEGUN_ELSEWHERE)) {
+            engine.holdCorrelation(id);
+            return true;
+        }
         Request request = engine.findRequest(id);
         if (request == null && mayForward && forwardToPeer.test(body)) {
             return true;
--- a/src/main/java/beechseam/platform/PlatformEgress.java
+++ b/src/main/java/beechseam/platform/PlatformEgress.java
@@ -5,16 +5,20 @@
 import beechseam.core.Egress;
 import beechseam.core.Engine;
 import beechseam.dispatch.Outcome;
+import java.util.function.Consumer;
 
 /** Carries out the engine's attempts, cancellations and health checks as HTTP exchanges with executors. */
 final class PlatformEgress implements Egress {
     private final EgressPool pool;
     private final ModuleOptions options;
+    private final Consumer<String> onBegun;
     private Engine engine;
 
-    PlatformEgress(EgressPool pool, ModuleOptions options) {
+    /** {@code onBegun} gets the correlation id of each attempt that begins and whose request must not be repeated. */
+    PlatformEgress(EgressPool pool, ModuleOptions options, Consumer<String> onBegun) {
         this.pool = pool;
         this.options = options;
+        this.onBegun = onBegun;
     }
 
     /** Sets the engine, whose constructor takes this object; called once, before any other method. */
@@ -29,7 +33,7 @@
             engine.attemptEnded(attempt, Outcome.NOT_SENT, null, null);
             return;
         }
-        Submission submission = new Submission(pool, engine, options, attempt, target);
+        Submission submission = new Submission(pool, engine, options, attempt, target, onBegun);
         attempt.exchange = submission;
         pool.send(target, submission);
     }
--- a/src/main/java/beechseam/platform/PlatformNode.java
+++ b/src/main/java/beechseam/platform/PlatformNode.java
@@ -89,7 +89,7 @@
         options = config.options();
         pool = new EgressPool(
                 loop, config.connectTimeoutNs(), options.settings.limits().idleTimeoutNs());
-        PlatformEgress egress = new PlatformEgress(pool, options);
+        PlatformEgress egress = new PlatformEgress(pool, options, this::announceBegun);
         engine = new Engine(options.settings, config.seed(), loop::now, loop.timers, egress, counters);
         egress.attach(engine);
         engine.holdCorrelations(longestDeadlineNs());
@@ -145,6 +145,13 @@
                 .orElse(0);
     }
 
+    /** Tells the node's other processes the id of a request that has begun here. */
+    private void announceBegun(String correlation) {
+        if (handover != null) {
+            handover.announceBegun(correlation);
+        }
+    }
+
     private boolean forwardToPeer(Slice event) {
         return handover != null && handover.forwardToPeer(event);
     }
--- a/src/main/java/beechseam/platform/ProcessHandover.java
+++ b/src/main/java/beechseam/platform/ProcessHandover.java
@@ -102,6 +102,14 @@
         return link.forwardCallback(callback.bytes(), callback.from(), callback.length());
     }
 
+    /** Tells the peers the correlation id of a request that has begun here and must not be repeated. */
+    void announceBegun(String correlation) {
+        if (link.peerCount() > 0) {
+            byte[] event = Callbacks.begunElsewhere(correlation);
+            link.forwardCallback(event, 0, event.length);
+        }
+    }
+
     /** Stops joining, since this process shuts down, and returns whether a successor serves the clients from now on. */
     boolean handOverToSuccessor() {
         node.loop.timers.cancel(joinTimer);
@@ -151,6 +159,7 @@
 
     @Override
     public void peersChanged() {
+        node.engine.correlationsInUse().forEach(this::announceBegun);
         node.allocateDescriptors();
         if (node.stopping() && handedOver != link.hasSuccessor()) {
             node.updateDrainSchedule();
--- a/src/main/java/beechseam/platform/Submission.java
+++ b/src/main/java/beechseam/platform/Submission.java
@@ -9,6 +9,7 @@
 import beechseam.http.HttpWriter;
 import beechseam.http.Slice;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 
 /**
  * The POST request that submits an attempt to an executor. Status 202 means that the executor has accepted the job
@@ -22,6 +23,9 @@
     private final ModuleOptions options;
     private final Attempt attempt;
     private final EgressTarget target;
+    /** Called with the correlation id when an attempt begins whose request must not be repeated. */
+    private final Consumer<String> onBegun;
+
     private boolean accepted;
     private boolean aborted;
     /** When the last byte of the request was written, on the loop's clock. */
@@ -34,17 +38,28 @@
         }
     };
 
-    Submission(EgressPool pool, Engine engine, ModuleOptions options, Attempt attempt, EgressTarget target) {
+    Submission(
+            EgressPool pool,
+            Engine engine,
+            ModuleOptions options,
+            Attempt attempt,
+            EgressTarget target,
+            Consumer<String> onBegun) {
         this.pool = pool;
         this.engine = engine;
         this.options = options;
         this.attempt = attempt;
         this.target = target;
+        this.onBegun = onBegun;
     }
 
     @Override
     boolean tryBegin() {
-        return !aborted && engine.tryBegin(attempt);
+        boolean begins = !aborted && engine.tryBegin(attempt);
+        if (begins && engine.mustNotRepeat(attempt.request)) {
+            onBegun.accept(attempt.request.correlation);
+        }
+        return begins;
     }
 
     @Override
--- a/src/test/java/beechseam/platform/ProcessHandoverTest.java
+++ b/src/test/java/beechseam/platform/ProcessHandoverTest.java
@@ -17,6 +17,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the handover between two processes of one node at one address; here both run on one event loop. */
 class ProcessHandoverTest extends NodeHarness {
@@ -24,6 +26,7 @@
     private final int port = freePort();
     private final Set<PlatformNode> ended = new HashSet<>();
     private final PlatformNode predecessor = start();
+    private int sentJobs;
 
     ProcessHandoverTest() throws Exception {
         net.until("the predecessor's endpoint list", () -> {
@@ -265,4 +268,50 @@
     private static long responses(Counters counters) {
         return counters.served() + counters.shed() + counters.failed() + counters.crowdedOut();
     }
+
+    private void assertRefusedAsInUse(Peer client) {
+        assertTrue(awaitResponse(client, "may still run\n").startsWith("HTTP/1.1 409"));
+    }
+
+    /** Guards against a job that runs twice, since its id comes again at the other process (picture c). */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void idThatBegunInOneProcessIsRefusedByTheOther(boolean beganBeforeUpgrade) throws Exception {
+        Peer atPredecessor = client();
+        if (!beganBeforeUpgrade) {
+            startSuccessor();
+        }
+        sendJobOn(atPredecessor, "c1");
+        attempt(0, "c1").send(answer("202 Accepted", ""));
+        net.settle(20);
+        atPredecessor.close();
+        if (beganBeforeUpgrade) {
+            startSuccessor();
+        }
+        stop(predecessor);
+        net.settle(50);
+        assertRefusedAsInUse(sendJob("c1", "once", "30000m")); // the predecessor no longer listens
+    }
+
+    /** The same in the other direction, as when an upgrade is cancelled. */
+    @Test
+    void idThatBegunInTheSuccessorIsRefusedByThePredecessor() throws Exception {
+        Peer atPredecessor = client();
+        PlatformNode successor = startSuccessor();
+        net.until("a job at the successor", () -> {
+            if (successor.counters.requestsAccepted == 0) {
+                sendJob("c" + ++sentJobs, "once", "30000m");
+                net.settle(20);
+            }
+            return successor.counters.attemptsSent > 0;
+        });
+        net.settle(20);
+        sendJobOn(atPredecessor, "c" + sentJobs);
+        assertRefusedAsInUse(atPredecessor);
+    }
+
+    private static void sendJobOn(Peer client, String id) {
+        client.send("POST /once/x HTTP/1.1\r\nX-Correlation-Id: " + id
+                + "\r\nX-Service-Class: once\r\nX-Time-Left: 30000m\r\nContent-Length: 4\r\n\r\nbody");
+    }
 }
