--- a/src/main/java/beechseam/core/Egress.java
+++ b/src/main/java/beechseam/core/Egress.java
@@ -7,8 +7,8 @@
 public interface Egress {
     /**
      * Sends the attempt to its target. The egress must call {@link Engine#tryBegin}, or {@link
-     * Engine#tryBeginReserved}, just before the first byte. An
-     * attempt that was deferred there by the {@link SendGate} is passed to this method again.
+     * Engine#tryBeginReserved}, just before the first byte. An attempt that was deferred there by the {@link SendGate}
+     * is passed to this method again.
      */
     void send(Attempt attempt);
 
--- a/src/main/java/beechseam/core/HeldCorrelations.java
+++ b/src/main/java/beechseam/core/HeldCorrelations.java
@@ -11,7 +11,7 @@
  * twice. At most {@link #MAX_HELD} ids are held, the latest ones. Each operation is amortized O(1).
  */
 final class HeldCorrelations {
-    /** With some 150 bytes an id, a few megabytes. */
+    /** Bounds the memory, since clients choose the ids and how often they leave. */
     private static final int MAX_HELD = 20_000;
 
     /** The time at which each id is free again, on the host's clock, in nanoseconds; in the order of these times. */
--- a/src/main/java/beechseam/gearman/ClientSession.java
+++ b/src/main/java/beechseam/gearman/ClientSession.java
@@ -253,9 +253,7 @@
     void connectionLost() {
         for (GearmanJob job : List.copyOf(awaitedJobs)) {
             server.jobs.leave(job, connection);
-            if (!job.running()) {
-                server.abandonIfUnwanted(job);
-            }
+            server.abandonIfUnwanted(job);
         }
         awaitedJobs.clear();
     }
--- a/src/main/java/beechseam/gearman/GearmanServer.java
+++ b/src/main/java/beechseam/gearman/GearmanServer.java
@@ -331,9 +331,9 @@
         withdrawAndEnd(job, () -> finished(job, how));
     }
 
-    /** Ends a job, without an answer, if it is a foreground job that no client waits for any more. */
+    /** Ends a job, without an answer, if no client waits for it, no worker runs it, and it is no background job. */
     void abandonIfUnwanted(GearmanJob job) {
-        if (!job.hasEnded() && !job.isWanted()) {
+        if (!job.hasEnded() && !job.isWanted() && !job.running()) {
             abandon(job, Jobs.End.LEFT);
         }
     }
--- a/src/main/java/beechseam/gearman/Shutdown.java
+++ b/src/main/java/beechseam/gearman/Shutdown.java
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Drops queued jobs that no client waits for. With {@code all}, also drops running background jobs, and answers
-     * the clients of the remaining jobs.
+     * Drops queued jobs that no client waits for. With {@code all}, also drops running jobs that none waits for, and
+     * answers the clients of the remaining jobs.
      */
     private void dropJobs(boolean all) {
         Map<String, Integer> dropped = new TreeMap<>();
@@ -100,7 +100,9 @@
             if (job.hasEnded() || !all && (awaited || job.running())) {
                 continue;
             }
-            if (!awaited) {
+            if (!job.isWanted()) { // its clients left while a worker ran it
+                server.abandon(job, Jobs.End.LEFT);
+            } else if (!awaited) {
                 dropped.merge(job.function.name, 1, Integer::sum);
                 server.abandon(job, Jobs.End.LOST);
             } else if (job.placed) { // a worker may have run it
