Gearman: charge jobs for wide object pointers on heaps of 32 GB and more

The bytes charged for a job were those of a JVM that compresses object pointers, which it does below 32 GB of heap. With -Xmx40g a job of a client that has gone took 685 bytes besides its payload's reserve of 617 in JobMemoryTest, and a client that joins 88 of 64: 2 of 8 red. The overhead of a job and of a waiting client doubles there; 8 of 8 pass with -Xmx40g and with the default heap. The test suite's own heap is a quarter of the machine's memory, so it would have failed on machines of 128 GB.

--- a/src/main/java/beechseam/gearman/JobMemory.java
+++ b/src/main/java/beechseam/gearman/JobMemory.java
@@ -4,17 +4,21 @@
 
 /**
  * The heap that a job takes until it ends. It is reserved in the memory budget when the job is submitted, so that jobs
- * are refused before the heap is full. The figures are for a JVM with compressed object pointers, which is the default
- * below 32 GB of heap.
+ * are refused before the heap is full.
  */
 final class JobMemory {
+    /** The heap from which on the JVM does not compress object pointers, which doubles their size. */
+    private static final long MAX_COMPRESSED_HEAP_BYTES = 32L << 30;
+
+    private static final int POINTER_SCALE = Runtime.getRuntime().maxMemory() < MAX_COMPRESSED_HEAP_BYTES ? 1 : 2;
+
     /**
      * The job, its entries in the tables by number and by key, its place in a queue or in the schedule, and the queue
      * of its client, which other jobs of that client share.
      */
-    static final int JOB_BYTES = 600;
+    static final int JOB_BYTES = 600 * POINTER_SCALE;
     /** A client that waits for a job: its entries in the job's list of clients and in the client's list of jobs. */
-    static final int WAITING_CLIENT_BYTES = 64;
+    static final int WAITING_CLIENT_BYTES = 64 * POINTER_SCALE;
     /** The most bytes that a character of a text takes. */
     private static final int BYTES_PER_CHAR = 2;
 
